--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-PACKAGES := core wire server cli fakes
-SOURCES := packages features
+PACKAGES := core gateway wire server cli fakes
+SOURCES := packages features platform
 export PYTHONPATH := $(subst $(eval ) ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/ragwortgw-$(p)))
 
 FEATURES := $(wildcard features/*.feature)
--- a/packages/ragwortgw-core/ragwortgw_core/entry_state.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry_state.py
@@ -309,11 +309,4 @@
       outputs: Effects and notices of a machine.
     Returns: The effects, with those of each notice in its place.
     """
-    applied: list[Any] = []
-    for output in outputs:
-        if not NOTICES.knows(output):
-            applied.append(output)
-            continue
-        _, more = NOTICES.reduce(state, stamp, output)
-        applied += apply_notices(state, stamp, more)
-    return applied
+    return NOTICES.expand(state, stamp, outputs)
--- a/packages/ragwortgw-core/ragwortgw_core/platform.py
+++ b/packages/ragwortgw-core/ragwortgw_core/platform.py
@@ -3,6 +3,10 @@
 from typing import NamedTuple
 
 
+#: Revision of a Put that is to be made whatever the key holds.
+ANY_REVISION = -1
+
+
 class Get(NamedTuple):
     """Reads one value."""
 
@@ -43,6 +47,14 @@
     wait_ms: int
 
 
+class WatchPrefix(NamedTuple):
+    """Waits until something under a prefix changes or time passes."""
+
+    prefix: str
+    revision: int
+    wait_ms: int
+
+
 class Grant(NamedTuple):
     """Takes or renews a lease."""
 
@@ -60,7 +72,7 @@
     """Reads the lagging list of hosts."""
 
 
-Call = Get | List | Put | Delete | Watch | Grant | Revoke | Hosts
+Call = Get | List | Put | Delete | Watch | WatchPrefix | Grant | Revoke | Hosts
 
 
 class Found(NamedTuple):
@@ -79,10 +91,25 @@
 
 
 class Listed(NamedTuple):
-    """All values under a prefix."""
+    """All values under a prefix; revision is 0 where it is not known."""
 
     prefix: str
     found: tuple[Found, ...]
+    revision: int = 0
+
+
+class Changes(NamedTuple):
+    """What changed under a prefix, in order, up to a revision."""
+
+    prefix: str
+    changes: tuple[Found | Absent, ...]
+    revision: int
+
+
+class Compacted(NamedTuple):
+    """The store forgot what changed since the revision asked for."""
+
+    prefix: str
 
 
 class Written(NamedTuple):
@@ -101,10 +128,15 @@
 
 
 class Granted(NamedTuple):
-    """The lease lives until the deadline, Unix ms of this process."""
+    """The lease lives until the deadline, Unix ms of this process.
+
+    renewed tells that it is certainly the lease granted before, with all
+    that hangs on it.
+    """
 
     lease: str
     deadline_ms: int
+    renewed: bool = False
 
 
 class HostEntry(NamedTuple):
@@ -137,6 +169,8 @@
     Found
     | Absent
     | Listed
+    | Changes
+    | Compacted
     | Written
     | Conflict
     | Granted
--- a/packages/ragwortgw-core/ragwortgw_core/reducer.py
+++ b/packages/ragwortgw-core/ragwortgw_core/reducer.py
@@ -59,3 +59,23 @@
         if handler is None:
             raise UnhandledEvent(type(event).__name__)
         return state, handler(state, stamp, event)
+
+    def expand(
+        self, state: State, stamp: events.Stamp, outputs: list[Any]
+    ) -> list[Any]:
+        """Replaces each output that has a handler by what that returns.
+
+        Args:
+          state: The state.
+          stamp: Time and randomness.
+          outputs: Effects, and notices that this reducer handles.
+        Returns: The effects, with those of each notice in its place.
+        """
+        expanded: list[Any] = []
+        for output in outputs:
+            if not self.knows(output):
+                expanded.append(output)
+                continue
+            _, more = self.reduce(state, stamp, output)
+            expanded += self.expand(state, stamp, more)
+        return expanded
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a gateway: an entry that calls backend servers itself."""
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -0,0 +1,351 @@
+"""What becomes of an attempt: answered, dropped, broken, silent."""
+
+from typing import Any
+
+from ragwortgw_core import effects as core_effects
+from ragwortgw_core import events as core_events
+from ragwortgw_gateway import dispatching
+from ragwortgw_gateway import effects
+from ragwortgw_gateway import events
+from ragwortgw_gateway import gateway_state
+from ragwortgw_gateway import suspicion
+
+REDUCER = gateway_state.REDUCER
+
+SERVER_ERROR = 500
+SUCCESS_END = 300
+#: A server answers so at the deadline that it was given; that the time
+#: was short says nothing about the server.
+TIMED_OUT = 504
+
+
+@REDUCER.handles(events.AttemptAnswered)
+def on_answered(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    event: events.AttemptAnswered,
+) -> list[Any]:
+    """Judges the head of an answer; a weak one is asked for again."""
+    active = state.requests_by_attempt.get(event.attempt_id)
+    if active is None:
+        return []
+    attempt = active.attempts_by_id[event.attempt_id]
+    attempt.answered_ms = stamp.now_ms
+    state.loads.answered(attempt.id)
+    state.heard_ms_by_server[attempt.server.id] = stamp.now_ms
+    if not event.head.streaming:
+        return []
+    learn(state, stamp, active, attempt)
+    outputs = _hedges_lost(state, active, attempt.id)
+    accepted = state.tiers.accepts(attempt.model, event.head.confidence)
+    if attempt.final or accepted or not _may_drop(state, stamp, active):
+        attempt.delivered = True
+        active.streaming = True
+        return [*outputs, effects.Deliver(attempt.id)]
+    active.runs += 1
+    active.choice = _larger(active)
+    dispatching.drop_attempt(state, active, attempt.id)
+    return [
+        *outputs,
+        effects.Cancel(attempt.id),
+        core_effects.Count(
+            'gateway_answers_dropped', (('model', attempt.model),)
+        ),
+        core_effects.Record(
+            'attempt-dropped',
+            {
+                'request': active.request.id,
+                'attempt': attempt.id,
+                'model': attempt.model,
+                'confidence': event.head.confidence,
+                'next_model': active.choice.model,
+            },
+        ),
+        *dispatching.dispatch(state, stamp, active),
+    ]
+
+
+@REDUCER.handles(events.AttemptEnded)
+def on_ended(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    event: events.AttemptEnded,
+) -> list[Any]:
+    """Passes a whole answer on, or tries again after a failure."""
+    active = state.requests_by_attempt.get(event.attempt_id)
+    if active is None:
+        return []
+    attempt = dispatching.drop_attempt(state, active, event.attempt_id)
+    assert attempt is not None
+    if attempt.delivered:
+        active.runs += 1
+        _succeeded(state, active, attempt)
+        return [
+            effects.FinishStream(active.request.id),
+            *dispatching.end(state, stamp, active, 'answered'),
+        ]
+    if event.answer.status >= SERVER_ERROR:
+        return _on_failure_answer(state, stamp, active, attempt, event)
+    active.runs += 1
+    if event.answer.status < SUCCESS_END:
+        learn(state, stamp, active, attempt)
+    _succeeded(state, active, attempt)
+    return [
+        effects.Respond(active.request.id, event.answer),
+        *dispatching.end(state, stamp, active, 'answered'),
+    ]
+
+
+@REDUCER.handles(events.AttemptRefused)
+def on_refused(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    event: events.AttemptRefused,
+) -> list[Any]:
+    """Tries elsewhere what a backend server certainly did not run."""
+    active = state.requests_by_attempt.get(event.attempt_id)
+    if active is None:
+        return []
+    attempt = dispatching.drop_attempt(state, active, event.attempt_id)
+    assert attempt is not None
+    active.refusals += 1
+    active.avoid.add(attempt.server.id)
+    outputs: list[Any] = []
+    if event.other_server:
+        active.last_failure = 'another server has the address'
+        outputs += forget_servers(
+            state, state.fleet.replaced(attempt.server.id).removed
+        )
+    else:
+        active.last_failure = 'server full'
+        state.suspects.troubled(
+            attempt.server.id, active.service, 'full', stamp.now_ms
+        )
+    outputs.append(_record_broken(active, attempt, stamp, 'no'))
+    if active.refusals >= dispatching.MAX_REFUSALS:
+        return [
+            *outputs,
+            *dispatching.give_up(state, stamp, active, None),
+        ]
+    return [*outputs, *dispatching.dispatch(state, stamp, active)]
+
+
+@REDUCER.handles(events.AttemptBroke)
+def on_broke(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    event: events.AttemptBroke,
+) -> list[Any]:
+    """Tries again what may be repeated, and resumes streams."""
+    active = state.requests_by_attempt.get(event.attempt_id)
+    if active is None:
+        return []
+    attempt = dispatching.drop_attempt(state, active, event.attempt_id)
+    assert attempt is not None
+    server = attempt.server
+    active.avoid.add(server.id)
+    active.last_failure = f'{event.reason} by {server.id}'
+    outputs = suspect(state, stamp, active, attempt, event.reason)
+    outputs.append(_record_broken(active, attempt, stamp, event.ran))
+    if event.ran == 'no':
+        active.refusals += 1
+        if active.refusals >= dispatching.MAX_REFUSALS:
+            return [
+                *outputs,
+                *dispatching.give_up(state, stamp, active, None),
+            ]
+        return [*outputs, *dispatching.dispatch(state, stamp, active)]
+    active.runs += 1
+    if event.reason == 'reset' and not attempt.answered_ms:
+        state.crashes.broke(
+            active.request.fingerprint,
+            f'{server.id}/{server.started_ms}',
+            stamp.now_ms,
+        )
+    active.last_event = max(active.last_event, event.last_event)
+    if not active.route.repeatable:
+        return [*outputs, *dispatching.give_up(state, stamp, active, None)]
+    return [*outputs, *dispatching.dispatch(state, stamp, active)]
+
+
+def _on_failure_answer(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+    event: events.AttemptEnded,
+) -> list[Any]:
+    """Handles a failure that the backend server itself answered."""
+    active.runs += 1
+    active.held = event.answer
+    active.avoid.add(attempt.server.id)
+    active.last_failure = f'{event.answer.status} by {attempt.server.id}'
+    outputs: list[Any] = []
+    timed_out = event.answer.status == TIMED_OUT
+    if not timed_out:
+        outputs += suspect(state, stamp, active, attempt, 'failed')
+        note_version(state, active, attempt, failed=True)
+    outputs.append(_record_broken(active, attempt, stamp, 'yes'))
+    if timed_out or not active.route.repeatable:
+        return [*outputs, *dispatching.give_up(state, stamp, active, None)]
+    return [*outputs, *dispatching.dispatch(state, stamp, active)]
+
+
+def suspect(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+    trouble: suspicion.Trouble,
+) -> list[Any]:
+    """Counts a trouble of a server; it may get no more work for a while."""
+    server = attempt.server
+    verdict = state.suspects.troubled(
+        server.id, active.service, trouble, stamp.now_ms
+    )
+    if not verdict.until_ms:
+        return []
+    state.digest_deadline_ms = stamp.now_ms
+    fields = {
+        'server': server.id,
+        'reason': verdict.reason,
+        'request': active.request.id,
+        'pause_ms': verdict.until_ms - stamp.now_ms,
+        'failure_share': round(
+            state.suspects.failure_share(server.id, active.service), 2
+        ),
+    }
+    return [
+        effects.DropServer(server.id),
+        core_effects.Record('server-suspended', fields),
+        core_effects.Count(
+            'gateway_suspensions', (('reason', verdict.reason),)
+        ),
+    ]
+
+
+def learn(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+) -> None:
+    """Learns from the time that an answer took to begin."""
+    measured_ms = max(1, stamp.now_ms - attempt.sent_ms)
+    placed = attempt.placed
+    if not placed.queued:
+        if attempt.model:
+            state.pace.observe_model(
+                attempt.model, placed.unread_tokens, measured_ms
+            )
+        else:
+            state.pace.observe_plain(active.service, measured_ms)
+    log_ratio = state.pace.observe_server(
+        attempt.server.id, placed.first_ms, measured_ms, stamp.now_ms
+    )
+    if attempt.candidate is None:
+        return
+    if attempt.candidate:
+        dispatching.note_rollout(
+            state, active, candidate_slowness=log_ratio, candidate_timed=1
+        )
+    else:
+        dispatching.note_rollout(
+            state, active, baseline_slowness=log_ratio, baseline_timed=1
+        )
+
+
+def note_version(
+    state: gateway_state.State,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+    failed: bool,
+) -> None:
+    """Counts the outcome of an attempt for its version."""
+    if attempt.candidate is None:
+        return
+    if attempt.candidate:
+        dispatching.note_rollout(
+            state,
+            active,
+            candidate_requests=1,
+            candidate_failures=int(failed),
+        )
+    else:
+        dispatching.note_rollout(
+            state,
+            active,
+            baseline_requests=1,
+            baseline_failures=int(failed),
+        )
+
+
+def forget_servers(
+    state: gateway_state.State, server_ids: tuple[str, ...]
+) -> list[Any]:
+    """Forgets all that was learned of servers that are gone."""
+    outputs: list[Any] = []
+    for server_id in server_ids:
+        state.prefixes.forget(server_id)
+        state.pace.forget(server_id)
+        state.suspects.forget(server_id)
+        state.heard_ms_by_server.pop(server_id, None)
+        outputs.append(effects.DropServer(server_id))
+    return outputs
+
+
+def _succeeded(
+    state: gateway_state.State,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+) -> None:
+    state.suspects.succeeded(attempt.server.id, active.service)
+    note_version(state, active, attempt, failed=False)
+
+
+def _may_drop(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    active: gateway_state.Active,
+) -> bool:
+    return not active.streaming and dispatching.may_ask_again(
+        state, stamp, active
+    )
+
+
+def _larger(active: gateway_state.Active) -> Any:
+    assert active.choice is not None
+    return active.choice._replace(model=active.route.tiers[-1], final=True)
+
+
+def _hedges_lost(
+    state: gateway_state.State, active: gateway_state.Active, winner: str
+) -> list[Any]:
+    """Cancels the other attempts once one has an answer."""
+    outputs: list[Any] = []
+    for attempt_id in list(active.attempts_by_id):
+        if attempt_id != winner:
+            active.runs += 1
+            dispatching.drop_attempt(state, active, attempt_id)
+            outputs.append(effects.Cancel(attempt_id))
+    return outputs
+
+
+def _record_broken(
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+    stamp: core_events.Stamp,
+    ran: str,
+) -> core_effects.Record:
+    return core_effects.Record(
+        'attempt-broke',
+        {
+            'request': active.request.id,
+            'attempt': attempt.id,
+            'server': attempt.server.id,
+            'reason': active.last_failure,
+            'ran': ran,
+            'after_ms': stamp.now_ms - attempt.sent_ms,
+            'last_event': active.last_event,
+        },
+    )
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -0,0 +1,108 @@
+"""What gateways tell each other, several times a second."""
+
+from typing import NamedTuple
+
+import msgspec
+
+
+class ServerLoad(NamedTuple):
+    """Work of one gateway at a backend server.
+
+    Args:
+      running: Requests in progress there.
+      pending_ms: Time that the server needs to read their prompts.
+      tokens: Tokens of memory that they take.
+    """
+
+    running: int
+    pending_ms: int
+    tokens: int
+
+
+class RolloutEvidence(NamedTuple):
+    """What one gateway saw of a roll-out since it began.
+
+    Args:
+      order: Store revision of the order.
+      elapsed_ms: Time since the order was given.
+      requests: Requests to the service.
+      candidate_requests: Those that the candidate answered.
+      candidate_failures: Those that it answered with a failure.
+      baseline_requests: Those that the other versions answered.
+      baseline_failures: Those that they answered with a failure.
+      candidate_slowness: Sum of log(measured / expected time).
+      candidate_timed: Answers in that sum.
+      baseline_slowness: As above, for the other versions.
+      baseline_timed: Answers in that sum.
+    """
+
+    order: int
+    elapsed_ms: int = 0
+    requests: int = 0
+    candidate_requests: int = 0
+    candidate_failures: int = 0
+    baseline_requests: int = 0
+    baseline_failures: int = 0
+    candidate_slowness: float = 0.0
+    candidate_timed: int = 0
+    baseline_slowness: float = 0.0
+    baseline_timed: int = 0
+
+
+class Crash(NamedTuple):
+    """A backend server broke while it was to begin a request.
+
+    Args:
+      fingerprint: Hash of the request's path, key and body.
+      server: Names one start of the backend server.
+      age_ms: How long ago it was.
+    """
+
+    fingerprint: int
+    server: str
+    age_ms: int
+
+
+class Digest(NamedTuple):
+    """What one gateway knows at a moment.
+
+    Args:
+      sender: Id of its host.
+      incarnation: Names one start of the process.
+      sequence: Counts its digests.
+      address: 'ip:port' where it sends and receives digests.
+      revisions_by_prefix: Store revision held of each followed prefix.
+      loads_by_server: Its work by backend server; idle ones are left out.
+      suspended_ms_by_server: Servers that it keeps away from, and how
+        long still.
+      crashes: Crashes of the last minute that it saw itself.
+      evidence_by_service: Roll-outs under way.
+    """
+
+    sender: str
+    incarnation: str
+    sequence: int
+    address: str
+    revisions_by_prefix: dict[str, int]
+    loads_by_server: dict[str, ServerLoad]
+    suspended_ms_by_server: dict[str, int]
+    crashes: tuple[Crash, ...]
+    evidence_by_service: dict[str, RolloutEvidence]
+
+
+def encode(digest: Digest) -> bytes:
+    """Encodes a digest as one datagram."""
+    return msgspec.msgpack.encode(digest)
+
+
+def decode(data: bytes) -> Digest | None:
+    """Decodes a datagram.
+
+    Args:
+      data: The datagram.
+    Returns: The digest, None if the bytes are none.
+    """
+    try:
+        return msgspec.msgpack.decode(data, type=Digest)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -0,0 +1,92 @@
+"""What can happen to a gateway, besides the events that all roles have."""
+
+from typing import Literal, NamedTuple
+
+from ragwortgw_core import errors
+from ragwortgw_core import platform
+from ragwortgw_gateway import digests
+from ragwortgw_gateway import requests
+
+#: Why an attempt broke: no connection, connection closed by the other
+#: end, no answer in time, bytes that are no answer to the request.
+Reason = Literal['refused', 'reset', 'silent', 'garbled']
+
+
+class RequestArrived(NamedTuple):
+    """A caller's request arrived whole."""
+
+    request: requests.Request
+
+
+class CallerLeft(NamedTuple):
+    """The caller closed its connection before the answer was whole."""
+
+    request_id: str
+
+
+class AttemptAnswered(NamedTuple):
+    """The head of an answer arrived; events, if any, are held back."""
+
+    attempt_id: str
+    head: requests.AnswerHead
+
+
+class AttemptEnded(NamedTuple):
+    """An attempt's answer is whole.
+
+    Args:
+      attempt_id: The attempt.
+      answer: The answer; its body is empty if it was a stream of events.
+      events: Events of the stream.
+    """
+
+    attempt_id: str
+    answer: requests.Answer
+    events: int
+
+
+class AttemptRefused(NamedTuple):
+    """A backend server says that it did not and will not run an attempt."""
+
+    attempt_id: str
+    other_server: bool
+
+
+class AttemptBroke(NamedTuple):
+    """An attempt ended without a whole answer.
+
+    Args:
+      attempt_id: The attempt.
+      reason: Why.
+      ran: Whether the backend server may have run it.
+      last_event: Id of the last event that the caller has, 0 for none.
+    """
+
+    attempt_id: str
+    reason: Reason
+    ran: errors.Ran
+    last_event: int
+
+
+class ServersHeard(NamedTuple):
+    """Data arrived from these backend servers since the last tick."""
+
+    server_ids: tuple[str, ...]
+
+
+class DigestReceived(NamedTuple):
+    """Another gateway told what it knows."""
+
+    digest: digests.Digest
+
+
+class BeliefsOffered(NamedTuple):
+    """Another gateway sent what it holds of a prefix of the store."""
+
+    listed: platform.Listed
+
+
+class SettingsReloaded(NamedTuple):
+    """The settings were read again; changed names what differs."""
+
+    changed: tuple[str, ...]
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
@@ -0,0 +1,171 @@
+"""Follows all values under a prefix of the store."""
+
+from typing import Any
+
+from ragwortgw_core import events
+from ragwortgw_core import operations
+from ragwortgw_core import platform
+from ragwortgw_gateway import notices
+
+#: The longest wait that stores commonly allow; each watch is one call.
+WATCH_MS = 25_000
+WATCH_GRACE_MS = 1_500
+LIST_TIMEOUT_MS = 2_000
+FIRST_RETRY_MS = 200
+MAX_RETRY_MS = 1_000
+
+
+class FollowedPrefix:
+    """Lists a prefix once, then watches it from revision to revision.
+
+    Args:
+      calls: Makes the calls.
+      prefix: The prefix.
+
+    Attributes:
+      revision: Store revision up to which all is known, 0 for nothing.
+      changed_revision: Revision of the last change that was seen.
+      heard_ms: When the store or another gateway last told.
+    """
+
+    def __init__(self, calls: operations.Operations, prefix: str) -> None:
+        self.prefix = prefix
+        self.revision = 0
+        self.changed_revision = 0
+        self.heard_ms = 0
+        self._found_by_key: dict[str, platform.Found] = {}
+        self._calls = calls
+        self._owner = f'following {prefix}'
+        self._generation = 0
+        self._calling = False
+        self._must_list = True
+        self._call_deadline_ms = 0
+        self._retry_ms = FIRST_RETRY_MS
+        calls.register(self._owner, self)
+
+    @property
+    def listed(self) -> platform.Listed:
+        """What is held, to be offered to another gateway."""
+        return platform.Listed(
+            self.prefix, tuple(self._found_by_key.values()), self.revision
+        )
+
+    def get(self, key: str) -> platform.Found | None:
+        """Returns the value held of a key."""
+        return self._found_by_key.get(key)
+
+    def on_tick(self, stamp: events.Stamp) -> list[Any]:
+        """Makes the next call when it is due."""
+        if self._calling or stamp.now_ms < self._call_deadline_ms:
+            return []
+        self._calling = True
+        self._generation += 1
+        call: platform.Call
+        if self._must_list:
+            call = platform.List(self.prefix)
+            limit_ms = LIST_TIMEOUT_MS
+        else:
+            call = platform.WatchPrefix(self.prefix, self.revision, WATCH_MS)
+            limit_ms = WATCH_MS + WATCH_GRACE_MS
+        deadline_ms = stamp.now_ms + limit_ms
+        return self._calls.call(
+            stamp, self._owner, self._generation, call, deadline_ms
+        )
+
+    def restart(self) -> None:
+        """Calls again at once; a call that still waits is ignored.
+
+        A watch that was waiting when the store went away may never be
+        answered.
+        """
+        self._generation += 1
+        self._calling = False
+        self._call_deadline_ms = 0
+        self._retry_ms = FIRST_RETRY_MS
+
+    def offer(self, stamp: events.Stamp, listed: platform.Listed) -> list[Any]:
+        """Takes what another gateway holds, if it is newer."""
+        if listed.revision <= self.revision:
+            return []
+        return self._take_all(stamp, listed, second_hand=True)
+
+    def on_result(
+        self,
+        stamp: events.Stamp,
+        tag: Any,
+        call: platform.Call,
+        result: platform.Result,
+    ) -> list[Any]:
+        """Takes the answer to a call."""
+        if tag != self._generation:
+            return []
+        self._calling = False
+        if isinstance(result, platform.Unavailable):
+            self._call_deadline_ms = stamp.now_ms + self._retry_ms
+            self._retry_ms = min(self._retry_ms * 2, MAX_RETRY_MS)
+            return []
+        self._retry_ms = FIRST_RETRY_MS
+        self._call_deadline_ms = stamp.now_ms
+        if isinstance(result, platform.Compacted):
+            self._must_list = True
+            return []
+        if isinstance(result, platform.Listed):
+            self._must_list = False
+            if result.revision < self.revision:
+                # Another gateway told of a newer state meanwhile.
+                return []
+            return self._take_all(stamp, result, second_hand=False)
+        if isinstance(result, platform.Changes):
+            return self._take_changes(stamp, result)
+        return []
+
+    def _take_all(
+        self,
+        stamp: events.Stamp,
+        listed: platform.Listed,
+        second_hand: bool,
+    ) -> list[Any]:
+        self.heard_ms = stamp.now_ms
+        self.revision = listed.revision
+        self.changed_revision = max(
+            [self.changed_revision, *(each.revision for each in listed.found)]
+        )
+        before_by_key = self._found_by_key
+        self._found_by_key = {found.key: found for found in listed.found}
+        written = tuple(
+            found
+            for key, found in self._found_by_key.items()
+            if before_by_key.get(key) != found
+        )
+        deleted = tuple(before_by_key.keys() - self._found_by_key.keys())
+        return [
+            notices.PrefixChanged(self.prefix, written, deleted, second_hand)
+        ]
+
+    def _take_changes(
+        self, stamp: events.Stamp, changes: platform.Changes
+    ) -> list[Any]:
+        self.heard_ms = stamp.now_ms
+        self.revision = max(self.revision, changes.revision)
+        written: dict[str, platform.Found] = {}
+        deleted: dict[str, None] = {}
+        for change in changes.changes:
+            self.changed_revision = max(self.changed_revision, change.revision)
+            held = self._found_by_key.get(change.key)
+            if held is not None and held.revision >= change.revision:
+                continue
+            if isinstance(change, platform.Found):
+                self._found_by_key[change.key] = change
+                written[change.key] = change
+                deleted.pop(change.key, None)
+            elif held is not None:
+                del self._found_by_key[change.key]
+                written.pop(change.key, None)
+                deleted[change.key] = None
+        if not written and not deleted:
+            return []
+        return [
+            notices.PrefixChanged(
+                self.prefix, tuple(written.values()), tuple(deleted), False
+            )
+        ]
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/formats.py
@@ -0,0 +1,54 @@
+"""How a deployment writes what it keeps in the store."""
+
+from typing import Protocol
+
+from ragwortgw_core import platform
+from ragwortgw_gateway import documents
+
+
+class Formats(Protocol):
+    """Keys and encodings of a deployment's store.
+
+    A decoder returns None for a value that it can't read or that is of
+    another kind; such a value is ignored.
+
+    Attributes:
+      operator_prefix: Prefix of what operators write.
+      server_prefix: Prefix of what backend servers write.
+      own_prefix: Prefix of what gateways write.
+      configuration_key: Key of the configuration.
+    """
+
+    operator_prefix: str
+    server_prefix: str
+    own_prefix: str
+    configuration_key: str
+
+    def read_configuration(
+        self, found: platform.Found
+    ) -> documents.Configuration | None:
+        """Decodes the configuration."""
+
+    def read_server(
+        self, found: platform.Found
+    ) -> documents.BackendServer | None:
+        """Decodes what a backend server registered."""
+
+    def read_order(
+        self, found: platform.Found
+    ) -> documents.RolloutOrder | None:
+        """Decodes the order of a roll-out."""
+
+    def rollout_status_key(self, service: str) -> str:
+        """Gives the key under which operators look for a roll-out."""
+
+    def write_rollout_status(
+        self, order: documents.RolloutOrder, phase: str
+    ) -> bytes:
+        """Encodes how far a roll-out is, for operators.
+
+        Args:
+          order: The order.
+          phase: 'running', 'complete' or 'reverted'.
+        Returns: The value.
+        """
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -0,0 +1,298 @@
+"""What a gateway knows, and the reducers that its handlers register with."""
+
+from typing import Any, NamedTuple
+
+from ragwortgw_core import events as core_events
+from ragwortgw_core import operations
+from ragwortgw_core import reducer
+from ragwortgw_gateway import crashes
+from ragwortgw_gateway import digests
+from ragwortgw_gateway import documents
+from ragwortgw_gateway import fleet
+from ragwortgw_gateway import following
+from ragwortgw_gateway import formats as store_formats
+from ragwortgw_gateway import loads
+from ragwortgw_gateway import pace
+from ragwortgw_gateway import placement
+from ragwortgw_gateway import prefixes
+from ragwortgw_gateway import requests
+from ragwortgw_gateway import retry_budget
+from ragwortgw_gateway import rollouts
+from ragwortgw_gateway import routes
+from ragwortgw_gateway import session_versions
+from ragwortgw_gateway import store_link
+from ragwortgw_gateway import suspicion
+from ragwortgw_gateway import tiers
+
+#: Others that are silent for longer than this are gone.
+PEER_LIFETIME_MS = 2_500
+
+
+class Options(NamedTuple):
+    """Limits of a gateway.
+
+    Args:
+      retry_ratio: Repeats per request that all gateways may send to a
+        service.
+      retry_slack: Repeats that they may send besides, in a window.
+      retry_window_ms: Length of the window.
+      exposure_share: Share of a service's requests that a bad version may
+        get.
+      session_lifetime_ms: Time after which a session is over.
+      stop_ms: Time that a planned stop may take.
+    """
+
+    retry_ratio: float = 0.2
+    retry_slack: float = 20.0
+    retry_window_ms: int = 10_000
+    exposure_share: float = 0.1
+    session_lifetime_ms: int = 300_000
+    stop_ms: int = 8_000
+
+
+class Attempt:
+    """An attempt at a request that is under way."""
+
+    __slots__ = (
+        'id',
+        'server',
+        'model',
+        'final',
+        'candidate',
+        'placed',
+        'expected_ms',
+        'sent_ms',
+        'answered_ms',
+        'delivered',
+    )
+
+    def __init__(
+        self,
+        attempt_id: str,
+        placed: placement.Placed,
+        choice: tiers.Choice | None,
+        candidate: bool | None,
+        now_ms: int,
+    ) -> None:
+        self.id = attempt_id
+        self.server = placed.server
+        self.model = '' if choice is None else choice.model
+        self.final = choice is None or choice.final
+        #: Whether it goes to the candidate of a roll-out, None without.
+        self.candidate = candidate
+        self.placed = placed
+        self.expected_ms = placed.first_ms
+        self.sent_ms = now_ms
+        self.answered_ms = 0
+        self.delivered = False
+
+
+class Active:
+    """A request that has no final answer yet.
+
+    Attributes:
+      request: The request.
+      route: Its route.
+      service: The service that it goes to.
+      organisation: Owner of its key.
+      priority: Its rank, 0 is the most urgent.
+      attempts_by_id: Attempts under way.
+      runs: Attempts that ran, or may have.
+      refusals: Attempts that certainly did not run.
+      avoid: Servers that failed it.
+      choice: Model to ask next.
+      streaming: Whether the caller has the head of a streamed answer.
+      last_event: Last event that the caller has.
+      held: A backend server's own failure, for want of a better answer.
+      deadline_ms: When the caller gets a final answer at the latest.
+      retry_ms: When to try again, 0 while attempts are under way.
+      last_failure: Why the last attempt failed.
+    """
+
+    __slots__ = (
+        'request',
+        'route',
+        'service',
+        'organisation',
+        'priority',
+        'attempts_by_id',
+        'runs',
+        'refusals',
+        'avoid',
+        'choice',
+        'streaming',
+        'last_event',
+        'held',
+        'deadline_ms',
+        'retry_ms',
+        'last_failure',
+    )
+
+    def __init__(
+        self,
+        request: requests.Request,
+        route: documents.Route,
+        service: str,
+        organisation: documents.Organisation | None,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.service = service
+        self.organisation = '' if organisation is None else organisation.id
+        self.priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            self.priority = organisation.priority
+        self.attempts_by_id: dict[str, Attempt] = {}
+        self.runs = 0
+        self.refusals = 0
+        self.avoid: set[str] = set()
+        self.choice: tiers.Choice | None = None
+        self.streaming = False
+        self.last_event = request.resumed_after
+        self.held: requests.Answer | None = None
+        self.deadline_ms = min(
+            request.deadline_ms, request.received_ms + route.timeout_ms
+        )
+        self.retry_ms = 0
+        self.last_failure = ''
+
+    @property
+    def sends(self) -> int:
+        """Attempts made so far."""
+        return self.runs + self.refusals + len(self.attempts_by_id)
+
+
+class Peer(NamedTuple):
+    """Another gateway that was heard of late."""
+
+    digest: digests.Digest
+    heard_ms: int
+
+
+class State:
+    """The state of a gateway.
+
+    Args:
+      host_id: Id of the host.
+      incarnation: Unique for each start of the process.
+      zone: Availability zone.
+      digest_address: 'ip:port' where digests of others arrive.
+      formats: How the deployment writes what it keeps in the store.
+      options: Limits.
+      seeds: Where digests go until the store has named other gateways.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        incarnation: str,
+        zone: str,
+        digest_address: str,
+        formats: store_formats.Formats,
+        options: Options,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        self.seeds = seeds
+        self.host_id = host_id
+        self.incarnation = incarnation
+        self.zone = zone
+        self.digest_address = digest_address
+        self.formats = formats
+        self.options = options
+        self.operations = operations.Operations()
+        self.link = store_link.StoreLink(
+            self.operations,
+            f'{formats.own_prefix}hosts/{host_id}',
+            {'address': digest_address, 'incarnation': incarnation},
+            incarnation,
+        )
+        self.operator_values = self._follow(formats.operator_prefix)
+        self.server_values = self._follow(formats.server_prefix)
+        self.own_values = self._follow(formats.own_prefix)
+        self.followed_by_prefix = {
+            each.prefix: each
+            for each in (
+                self.operator_values,
+                self.server_values,
+                self.own_values,
+            )
+        }
+        self.configuration: documents.Configuration | None = None
+        self.table: routes.RouteTable | None = None
+        self.fleet = fleet.Fleet()
+        self.loads = loads.LoadBook()
+        self.prefixes = prefixes.PrefixBook()
+        self.pace = pace.PaceBook()
+        self.suspects = suspicion.Suspicion()
+        self.crashes = crashes.CrashBook()
+        self.tiers = tiers.TierBook()
+        self.placement = placement.Placement(
+            zone, self.loads, self.prefixes, self.pace, self.suspects
+        )
+        self.budget = retry_budget.RetryBudget(
+            options.retry_ratio, options.retry_slack, options.retry_window_ms
+        )
+        self.rollouts = rollouts.Rollouts(
+            self.operations, host_id, formats, options.exposure_share
+        )
+        self.sessions = session_versions.SessionVersions(
+            options.session_lifetime_ms
+        )
+        self.requests_by_id: dict[str, Active] = {}
+        self.requests_by_attempt: dict[str, Active] = {}
+        self.peers_by_id: dict[str, Peer] = {}
+        self.peer_addresses_by_id: dict[str, str] = {}
+        self.heard_ms_by_server: dict[str, int] = {}
+        self.behind_since_ms_by_prefix: dict[str, int] = {}
+        self.started_ms = 0
+        self.next_attempt = 0
+        self.next_digest = 0
+        self.digest_deadline_ms = 0
+        self.fetch_deadline_ms = 0
+        self.stopping = False
+        self.stop_began_ms = 0
+        self.closed_callers = False
+        self.exiting = False
+
+    @property
+    def gateways(self) -> int:
+        """Gateways known to be alive, with this one."""
+        return 1 + max(len(self.peers_by_id), len(self.peer_addresses_by_id))
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers are welcome."""
+        return (
+            not self.stopping
+            and self.table is not None
+            and self.server_values.revision > 0
+        )
+
+    def service(self, service_id: str) -> documents.Service | None:
+        """Returns a service by its id."""
+        if self.configuration is None:
+            return None
+        return self.configuration.services_by_id.get(service_id)
+
+    def _follow(self, prefix: str) -> following.FollowedPrefix:
+        return following.FollowedPrefix(self.operations, prefix)
+
+
+REDUCER: reducer.Reducer[State] = reducer.Reducer()
+
+#: Applies notices of the gateway's machines.
+NOTICES: reducer.Reducer[State] = reducer.Reducer()
+
+
+def apply_notices(
+    state: State, stamp: core_events.Stamp, outputs: list[Any]
+) -> list[Any]:
+    """Applies the notices among outputs and returns the effects.
+
+    Args:
+      state: The gateway.
+      stamp: Time and randomness.
+      outputs: What a machine returned.
+    Returns: The effects, with those that notices led to in their places.
+    """
+    return NOTICES.expand(state, stamp, outputs)
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/notices.py
@@ -0,0 +1,31 @@
+"""What machines of a gateway tell its reducer."""
+
+from typing import NamedTuple
+
+from ragwortgw_core import platform
+
+
+class PrefixChanged(NamedTuple):
+    """What is held of a prefix of the store has changed.
+
+    Args:
+      prefix: The prefix.
+      written: Values that are new or changed.
+      deleted: Keys that are gone.
+      second_hand: Whether another gateway told.
+    """
+
+    prefix: str
+    written: tuple[platform.Found, ...]
+    deleted: tuple[str, ...]
+    second_hand: bool
+
+
+class StoreLost(NamedTuple):
+    """The store does not answer any more."""
+
+
+class StoreRegained(NamedTuple):
+    """The store answers again."""
+
+    outage_ms: int
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/patience.py
@@ -0,0 +1,147 @@
+"""Decides how long to wait for a backend server, and what then.
+
+Load it answers: backend servers that hang, fall silent or lose answers.
+"""
+
+from typing import Any
+
+from ragwortgw_core import effects as core_effects
+from ragwortgw_core import errors
+from ragwortgw_core import events
+from ragwortgw_gateway import dispatching
+from ragwortgw_gateway import effects
+from ragwortgw_gateway import gateway_state
+from ragwortgw_gateway import refusal
+
+#: A server from which nothing at all came for this long, though requests
+#: run there, is silent; long prompts delay all others, so that the time
+#: which the known prompts there take is allowed for twice.
+SERVER_SILENCE_MS = 1_200
+PENDING_FACTOR = 2.0
+#: An answer that has not begun after this many times the expected time,
+#: and this much more, is lost.
+LOST_FACTOR = 4.0
+LOST_SPARE_MS = 1_200
+#: A plain request is sent to a second server after this many times the
+#: expected time, and this much more.
+HEDGE_FACTOR = 3.0
+HEDGE_SPARE_MS = 40
+#: Time that must be left for a second attempt to make sense.
+MIN_LEFT_MS = 60
+
+
+def on_tick(state: gateway_state.State, stamp: events.Stamp) -> list[Any]:
+    """Looks after every request: deadlines, retries, silent servers."""
+    outputs: list[Any] = []
+    for active in list(state.requests_by_id.values()):
+        if stamp.now_ms >= active.deadline_ms:
+            outputs += expire(state, stamp, active)
+        elif active.retry_ms and stamp.now_ms >= active.retry_ms:
+            outputs += dispatching.dispatch(state, stamp, active)
+        elif active.route.repeatable:
+            outputs += _watch_attempts(state, stamp, active)
+    return outputs
+
+
+def expire(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+) -> list[Any]:
+    """Gives a request its final answer at its deadline."""
+    if active.streaming:
+        return [
+            effects.CutStream(active.request.id),
+            *dispatching.end(state, stamp, active, 'stream-cut'),
+        ]
+    if active.held is not None:
+        return [
+            effects.Respond(active.request.id, active.held),
+            *dispatching.end(state, stamp, active, 'failed-by-server'),
+        ]
+    if not active.runs and not active.attempts_by_id:
+        failure: Any = errors.Overloaded(refusal.MIN_RETRY_MS)
+    else:
+        failure = errors.DeadlineExceeded(active.deadline_ms, 'unknown')
+    return dispatching.refuse(state, stamp, active, failure)
+
+
+def _watch_attempts(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+) -> list[Any]:
+    outputs: list[Any] = []
+    for attempt in list(active.attempts_by_id.values()):
+        if _server_silent(state, stamp, attempt) or _answer_lost(
+            stamp, active, attempt
+        ):
+            outputs.append(effects.Abandon(attempt.id))
+        elif _wants_hedge(stamp, active, attempt):
+            outputs += _hedge(state, stamp, active, attempt)
+    return outputs
+
+
+def _server_silent(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    attempt: gateway_state.Attempt,
+) -> bool:
+    heard_ms = state.heard_ms_by_server.get(attempt.server.id, 0)
+    since_ms = max(heard_ms, attempt.sent_ms, attempt.answered_ms)
+    pending_ms = state.loads.at(attempt.server.id).pending_ms
+    if not attempt.answered_ms:
+        pending_ms = max(pending_ms, attempt.expected_ms)
+    limit_ms = SERVER_SILENCE_MS + PENDING_FACTOR * pending_ms
+    return stamp.now_ms - since_ms > limit_ms
+
+
+def _answer_lost(
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+) -> bool:
+    if attempt.answered_ms or active.route.kind != 'streaming':
+        return False
+    limit_ms = attempt.expected_ms * LOST_FACTOR + LOST_SPARE_MS
+    return stamp.now_ms - attempt.sent_ms > limit_ms
+
+
+def _wants_hedge(
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+) -> bool:
+    if attempt.answered_ms or active.route.kind == 'streaming':
+        return False
+    if len(active.attempts_by_id) > 1:
+        return False
+    if active.runs + 1 >= active.route.max_attempts:
+        return False
+    if active.deadline_ms - stamp.now_ms < MIN_LEFT_MS:
+        return False
+    limit_ms = attempt.expected_ms * HEDGE_FACTOR + HEDGE_SPARE_MS
+    return stamp.now_ms - attempt.sent_ms > limit_ms
+
+
+def _hedge(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+) -> list[Any]:
+    active.avoid.add(attempt.server.id)
+    outputs = dispatching.dispatch(state, stamp, active)
+    if not outputs:
+        return []
+    fields = {
+        'request': active.request.id,
+        'attempt': attempt.id,
+        'server': attempt.server.id,
+        'waited_ms': stamp.now_ms - attempt.sent_ms,
+        'expected_ms': round(attempt.expected_ms),
+    }
+    return [
+        core_effects.Record('request-hedged', fields),
+        *outputs,
+    ]
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/retry_budget.py
@@ -0,0 +1,85 @@
+"""Bounds how often requests are sent again to a service.
+
+Load it answers: a bad backend server or a lossy network turns each request
+into several, just when the service can least bear them.
+"""
+
+import collections
+
+#: Share of the allowed ratio that is used, since other gateways can't be
+#: asked in time.
+SAFE_SHARE = 0.85
+#: Part of the fixed allowance that is used; the rest covers repeats that
+#: are counted late.
+SAFE_SLACK_SHARE = 0.6
+BUCKET_MS = 500
+
+
+class _Window:
+    """Counts in a sliding window, in steps of BUCKET_MS."""
+
+    def __init__(self, window_ms: int) -> None:
+        self._window_ms = window_ms
+        self._buckets: collections.deque[list[int]] = collections.deque()
+        self.total = 0
+
+    def add(self, now_ms: int) -> None:
+        start_ms = now_ms - now_ms % BUCKET_MS
+        if not self._buckets or self._buckets[-1][0] != start_ms:
+            self._buckets.append([start_ms, 0])
+        self._buckets[-1][1] += 1
+        self.total += 1
+
+    def expire(self, now_ms: int) -> None:
+        oldest_ms = now_ms - self._window_ms
+        while self._buckets and self._buckets[0][0] < oldest_ms:
+            self.total -= self._buckets.popleft()[1]
+
+
+class RetryBudget:
+    """Repeats allowed to one gateway, by service.
+
+    Args:
+      ratio: Repeats allowed per request, of all gateways.
+      slack: Repeats allowed besides, of all gateways.
+      window_ms: Any window of this length counts.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_ms: int) -> None:
+        self._ratio = ratio * SAFE_SHARE
+        self._slack = slack * SAFE_SLACK_SHARE
+        self._window_ms = window_ms
+        self._requests_by_service: dict[str, _Window] = {}
+        self._repeats_by_service: dict[str, _Window] = {}
+
+    def count_request(self, service: str, now_ms: int) -> None:
+        """Counts a new request of a caller."""
+        self._window(self._requests_by_service, service).add(now_ms)
+
+    def left(self, service: str, gateways: int, now_ms: int) -> float:
+        """Returns how many repeats may be sent now.
+
+        Args:
+          service: The service.
+          gateways: Gateways that share the allowance.
+          now_ms: The time.
+        """
+        requests = self._window(self._requests_by_service, service)
+        repeats = self._window(self._repeats_by_service, service)
+        requests.expire(now_ms)
+        repeats.expire(now_ms)
+        slack = self._slack / max(1, gateways)
+        return self._ratio * requests.total + slack - repeats.total
+
+    def spend(self, service: str, gateways: int, now_ms: int) -> bool:
+        """Takes one repeat out of the budget, if it holds one."""
+        if self.left(service, gateways, now_ms) < 1:
+            return False
+        self._window(self._repeats_by_service, service).add(now_ms)
+        return True
+
+    def _window(self, windows: dict[str, _Window], service: str) -> _Window:
+        window = windows.get(service)
+        if window is None:
+            window = windows[service] = _Window(self._window_ms)
+        return window
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_link.py
@@ -0,0 +1,122 @@
+"""Keeps the gateway's own entry in the store and notices outages."""
+
+from typing import Any
+
+import msgspec
+
+from ragwortgw_core import events
+from ragwortgw_core import operations
+from ragwortgw_core import platform
+from ragwortgw_gateway import notices
+
+OWNER = 'link'
+#: A lease outlives three renewals that fail.
+LEASE_TTL_MS = 8_000
+#: Each renewal also probes the store, so that an outage is known before
+#: a watch that hangs in it would time out.
+RENEW_INTERVAL_MS = 2_000
+#: A healthy store answers within milliseconds; one that is slow by a
+#: factor of a hundred still counts as reachable.
+CALL_TIMEOUT_MS = 1_000
+RETRY_MS = 500
+
+
+class StoreLink:
+    """Registers the gateway under a lease and renews it.
+
+    Args:
+      calls: Makes the calls.
+      key: Key of the gateway's own entry.
+      value: The entry.
+      lease: Name of its lease, unique to this start of the process.
+    """
+
+    def __init__(
+        self, calls: operations.Operations, key: str, value: Any, lease: str
+    ) -> None:
+        self._calls = calls
+        self._key = key
+        self._value = msgspec.json.encode(value)
+        self._lease = lease
+        self._call_deadline_ms = 0
+        self._calling = False
+        self._registered = False
+        self._revision = 0
+        self._failed_since_ms: int | None = None
+        self.regained_ms = 0
+        calls.register(OWNER, self)
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the store answered the last call."""
+        return self._failed_since_ms is None
+
+    def on_tick(self, stamp: events.Stamp) -> list[Any]:
+        """Renews the lease when it is due."""
+        if self._calling or stamp.now_ms < self._call_deadline_ms:
+            return []
+        self._calling = True
+        grant = platform.Grant(self._lease, LEASE_TTL_MS)
+        return self._call(stamp, grant)
+
+    def release(self, stamp: events.Stamp) -> list[Any]:
+        """Ends the lease; the entry goes with it."""
+        self._calling = True
+        return self._call(stamp, platform.Revoke(self._lease))
+
+    def failed(self, stamp: events.Stamp) -> list[Any]:
+        """Takes note that another call went unanswered."""
+        self._call_deadline_ms = min(self._call_deadline_ms, stamp.now_ms)
+        return []
+
+    def on_result(
+        self,
+        stamp: events.Stamp,
+        tag: Any,
+        call: platform.Call,
+        result: platform.Result,
+    ) -> list[Any]:
+        """Takes the answer to one of the link's calls."""
+        if isinstance(call, platform.Revoke):
+            return []
+        self._calling = False
+        if isinstance(result, platform.Unavailable):
+            return self._lost(stamp)
+        outputs = self._regained(stamp)
+        if isinstance(call, platform.Grant):
+            self._call_deadline_ms = stamp.now_ms + RENEW_INTERVAL_MS
+            if isinstance(result, platform.Granted) and result.renewed:
+                if self._registered:
+                    return outputs
+            put = platform.Put(
+                self._key, self._value, self._revision, self._lease
+            )
+            self._calling = True
+            return [*outputs, *self._call(stamp, put)]
+        if isinstance(result, platform.Written):
+            self._registered = True
+            self._revision = result.revision
+        if isinstance(result, platform.Conflict):
+            self._registered = False
+            self._revision = result.revision
+            self._call_deadline_ms = stamp.now_ms
+        return outputs
+
+    def _call(self, stamp: events.Stamp, call: platform.Call) -> list[Any]:
+        deadline_ms = stamp.now_ms + CALL_TIMEOUT_MS
+        return self._calls.call(stamp, OWNER, 'link', call, deadline_ms)
+
+    def _lost(self, stamp: events.Stamp) -> list[Any]:
+        self._call_deadline_ms = stamp.now_ms + RETRY_MS
+        if self._failed_since_ms is not None:
+            return []
+        self._failed_since_ms = stamp.now_ms
+        return [notices.StoreLost()]
+
+    def _regained(self, stamp: events.Stamp) -> list[Any]:
+        if self._failed_since_ms is None:
+            return []
+        outage_ms = stamp.now_ms - self._failed_since_ms
+        self._failed_since_ms = None
+        self.regained_ms = stamp.now_ms
+        return [notices.StoreRegained(outage_ms)]
--- /dev/null
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -0,0 +1,310 @@
+"""Attempts at backend servers: sends them and relays their answers."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+from typing import Any
+
+from returns.result import Success
+
+from ragwortgw_core import errors
+from ragwortgw_gateway import events
+from ragwortgw_gateway import requests
+from ragwortgw_server import backend_channels
+from ragwortgw_server import clock
+from ragwortgw_server import event_stream
+from ragwortgw_server import gateway_callers
+from ragwortgw_server import gateway_protocol
+from ragwortgw_server import http_channel
+from ragwortgw_server import loop as loops
+
+LOG = logging.getLogger(__name__)
+
+REASONS: dict[http_channel.Reason, events.Reason] = {
+    'refused': 'refused',
+    'timeout': 'silent',
+    'reset': 'reset',
+    'protocol': 'garbled',
+}
+#: Answers of plain services are passed on whole; larger ones are refused.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+#: The reducer ends requests at their deadline; a connection that still
+#: waits this much later is closed by itself.
+DEADLINE_SPARE_MS = 500
+
+
+class _Broken(Exception):
+    """The attempt ended without a whole answer."""
+
+    def __init__(self, reason: events.Reason, ran: errors.Ran) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.ran = ran
+
+
+class _Call:
+    """One attempt on its way."""
+
+    def __init__(
+        self, dispatch: requests.Dispatch, request: requests.Request
+    ) -> None:
+        self.dispatch = dispatch
+        self.request = request
+        self.task: asyncio.Task[Any] | None = None
+        self.channel: http_channel.Channel | None = None
+        self.head: requests.AnswerHead | None = None
+        self.delivering = False
+        self.held: list[event_stream.RawEvent] = []
+        self.next_event = 0
+
+
+class BackendCalls:
+    """Attempts by id.
+
+    Args:
+      loop: The process's loop.
+      protocol: Headers of the deployment.
+      callers: Where answers go.
+      on_event: Takes the events of attempts.
+
+    Attributes:
+      heard: Servers from which something came since this was cleared.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        protocol: gateway_protocol.BackendProtocol,
+        callers: gateway_callers.GatewayCallers,
+        on_event: Callable[[Any], None],
+    ) -> None:
+        self._loop = loop
+        self._protocol = protocol
+        self._callers = callers
+        self._on_event = on_event
+        self._calls_by_id: dict[str, _Call] = {}
+        self.pool = backend_channels.ChannelPool(loop)
+        self.heard: set[str] = set()
+
+    def send(self, dispatch: requests.Dispatch) -> None:
+        """Sends an attempt; its events follow."""
+        request = self._callers.request(dispatch.request_id)
+        if request is None:
+            return
+        call = _Call(dispatch, request)
+        call.next_event = self._callers.last_event(request.id) + 1
+        self._calls_by_id[dispatch.attempt_id] = call
+        call.task = self._loop.spawn(self._run(call), dispatch.attempt_id)
+
+    def deliver(self, attempt_id: str) -> None:
+        """Lets the events of an attempt go to its caller."""
+        call = self._calls_by_id.get(attempt_id)
+        if call is None or call.head is None:
+            return
+        call.delivering = True
+        self._callers.begin_stream(call.request.id, call.head)
+        held, call.held = call.held, []
+        for event in held:
+            self._callers.write(call.request.id, event)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Gives an attempt up and closes its connection."""
+        call = self._calls_by_id.pop(attempt_id, None)
+        if call is None:
+            return
+        self._close(call)
+        if call.task is not None and call.task is not asyncio.current_task():
+            call.task.cancel()
+
+    def abandon(self, attempt_id: str) -> None:
+        """Gives a silent attempt up; AttemptBroke follows."""
+        call = self._calls_by_id.get(attempt_id)
+        if call is None:
+            return
+        last_event = self._callers.last_event(call.request.id)
+        self.cancel(attempt_id)
+        self._on_event(
+            events.AttemptBroke(attempt_id, 'silent', 'unknown', last_event)
+        )
+
+    def close(self) -> None:
+        """Gives all attempts up and closes all connections."""
+        for attempt_id in list(self._calls_by_id):
+            self.cancel(attempt_id)
+        self.pool.close()
+
+    async def _run(self, call: _Call) -> None:
+        attempt_id = call.dispatch.attempt_id
+        try:
+            event = await self._attempt(call)
+        except _Broken as broken:
+            event = events.AttemptBroke(
+                attempt_id,
+                broken.reason,
+                broken.ran,
+                self._callers.last_event(call.request.id),
+            )
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            LOG.exception('attempt %s failed', attempt_id)
+            event = events.AttemptBroke(
+                attempt_id,
+                'garbled',
+                'unknown',
+                self._callers.last_event(call.request.id),
+            )
+        if self._calls_by_id.pop(attempt_id, None) is None:
+            return
+        self._close(call)
+        self._on_event(event)
+
+    async def _attempt(self, call: _Call) -> Any:
+        """Sends the request and waits for the end of its answer."""
+        await self._exchange(call)
+        self.heard.add(call.dispatch.server_id)
+        head, channel = call.head, call.channel
+        assert head is not None and channel is not None
+        if head.proves_not_run or head.other_server:
+            await self._whole_body(channel)
+            self._release(call)
+            return events.AttemptRefused(
+                call.dispatch.attempt_id, head.other_server
+            )
+        if head.streaming:
+            return await self._relay(call)
+        self._on_event(events.AttemptAnswered(call.dispatch.attempt_id, head))
+        body = await self._whole_body(channel)
+        self._release(call)
+        answer = requests.Answer(head.status, head.headers, body)
+        return events.AttemptEnded(call.dispatch.attempt_id, answer, 0)
+
+    async def _exchange(self, call: _Call) -> None:
+        """Sends the request and waits for the head of its answer.
+
+        A kept connection that turns out to be closed before a byte left
+        is replaced by another one.
+        """
+        dispatch = call.dispatch
+        fresh = not dispatch.repeatable
+        while True:
+            channel = self.pool.kept(dispatch.server_id, fresh)
+            kept = channel is not None
+            if channel is None:
+                opened = await self.pool.open(
+                    dispatch.server_id,
+                    dispatch.address,
+                    dispatch.connection_limit,
+                    dispatch.deadline_ms,
+                )
+                if not isinstance(opened, Success):
+                    raise _Broken(REASONS[opened.failure().reason], 'no')
+                channel = opened.unwrap()
+            call.channel = channel
+            channel.send(self._http_call(call))
+            await self._wait_own_head(call, channel)
+            failure = channel.failure
+            if failure is None:
+                return
+            self._close(call)
+            if kept and not failure.sent and failure.reason == 'reset':
+                continue
+            ran: errors.Ran = 'unknown' if failure.sent else 'no'
+            raise _Broken(REASONS[failure.reason], ran)
+
+    async def _wait_own_head(
+        self, call: _Call, channel: http_channel.Channel
+    ) -> None:
+        """Waits for the answer to this request.
+
+        The second answer to an earlier request may come first.
+        """
+        while True:
+            await channel.wait_head()
+            if channel.failure is not None:
+                return
+            assert channel.head is not None
+            head = self._protocol.read_head(channel.head)
+            if not head.request_id or head.request_id == call.request.id:
+                call.head = head
+                return
+            await channel.skip_response()
+
+    def _http_call(self, call: _Call) -> http_channel.Call:
+        request = call.request
+        dispatch = call.dispatch
+        return http_channel.Call(
+            request.method,
+            dispatch.address,
+            request.target,
+            {},
+            request.body,
+            dispatch.deadline_ms + DEADLINE_SPARE_MS,
+            request.host,
+            self._protocol.request_headers(request, dispatch, clock.now_ms()),
+        )
+
+    async def _whole_body(self, channel: http_channel.Channel) -> bytes:
+        pieces: list[bytes] = []
+        size_bytes = 0
+        while piece := await channel.next_piece():
+            pieces.append(piece)
+            size_bytes += len(piece)
+            if size_bytes > MAX_BODY_BYTES:
+                raise _Broken('garbled', 'unknown')
+        if channel.failure is not None:
+            raise _Broken(REASONS[channel.failure.reason], 'unknown')
+        return b''.join(pieces)
+
+    async def _relay(self, call: _Call) -> Any:
+        """Passes whole events on, in order, until the stream ends."""
+        channel = call.channel
+        assert channel is not None and call.head is not None
+        splitter = event_stream.EventSplitter()
+        announced = False
+        count = 0
+        while piece := await channel.next_piece():
+            self.heard.add(call.dispatch.server_id)
+            found = splitter.feed(piece)
+            count += len(found)
+            self._take(call, found)
+            if not announced and found:
+                announced = True
+                self._on_event(
+                    events.AttemptAnswered(call.dispatch.attempt_id, call.head)
+                )
+            if call.dispatch.attempt_id not in self._calls_by_id:
+                raise _Broken('reset', 'unknown')
+            if call.delivering:
+                await self._callers.drained(call.request.id)
+        if channel.failure is not None:
+            raise _Broken(REASONS[channel.failure.reason], 'unknown')
+        if splitter.rest or not announced:
+            raise _Broken('garbled', 'unknown')
+        self._release(call)
+        answer = requests.Answer(call.head.status, (), b'')
+        return events.AttemptEnded(call.dispatch.attempt_id, answer, count)
+
+    def _take(self, call: _Call, found: list[event_stream.RawEvent]) -> None:
+        for event in found:
+            if event.id != call.next_event:
+                raise _Broken('garbled', 'unknown')
+            call.next_event += 1
+            if call.delivering:
+                self._callers.write(call.request.id, event)
+            else:
+                call.held.append(event)
+
+    def _release(self, call: _Call) -> None:
+        assert call.channel is not None and call.head is not None
+        channel, call.channel = call.channel, None
+        self.pool.release(
+            call.dispatch.server_id, channel, call.head.keep_alive_ms
+        )
+
+    def _close(self, call: _Call) -> None:
+        if call.channel is not None:
+            channel, call.channel = call.channel, None
+            self.pool.discard(call.dispatch.server_id, channel)
--- a/packages/ragwortgw-server/ragwortgw_server/connections.py
+++ b/packages/ragwortgw-server/ragwortgw_server/connections.py
@@ -18,6 +18,14 @@
 READ_BYTES = 65536
 MAX_SEND_BYTES = 262144
 LINGER_S = 2
+#: A peer whose host is gone, or a path that lost the connection, shows
+#: after about three seconds without an answer to the kernel's probes.
+KEEPALIVE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
 
 _WOULD_BLOCK = (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError)
 
@@ -249,6 +257,8 @@
         self._asyncio_loop = loop.asyncio_loop
         self._poller: Any = loop.root.poller
         self._connections_by_sock: dict[Any, Connection] = {}
+        #: Whether the kernel is to probe connections that are silent.
+        self.probes = False
 
     def __len__(self) -> int:
         return len(self._connections_by_sock)
@@ -271,6 +281,9 @@
         """
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self.probes:
+            for option in KEEPALIVE_OPTIONS:
+                sock.setsockopt(*option)
         if tls is not None:
             sock = tls.wrap_socket(
                 sock,
--- /dev/null
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_peers.py
@@ -0,0 +1,135 @@
+"""Digests between gateways, by datagram, and beliefs, by HTTP."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+from typing import Any
+import urllib.parse
+
+import msgspec
+from returns.result import Success
+
+from ragwortgw_core import errors
+from ragwortgw_core import platform
+from ragwortgw_gateway import digests
+from ragwortgw_gateway import events
+from ragwortgw_server import clock
+from ragwortgw_server import http_client
+from ragwortgw_server import http_exchange
+
+LOG = logging.getLogger(__name__)
+
+BELIEFS_PATH = '/v1/beliefs'
+CONTENT_TYPE = 'application/msgpack'
+FETCH_TIMEOUT_MS = 1_000
+MAX_DATAGRAM_BYTES = 60_000
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, on_data: Callable[[bytes], None]) -> None:
+        self._on_data = on_data
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self._on_data(data)
+
+
+class GatewayPeers:
+    """Speaks with the other gateways; a context manager.
+
+    Args:
+      client: HTTP client.
+      holding: Returns what is held of a prefix, None if it is unknown.
+      on_event: Takes DigestReceived and BeliefsOffered.
+    """
+
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        holding: Callable[[str], platform.Listed | None],
+        on_event: Callable[[Any], None],
+    ) -> None:
+        self._client = client
+        self._holding = holding
+        self._on_event = on_event
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def __enter__(self) -> 'GatewayPeers':
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.close()
+
+    async def listen(self, address: str) -> None:
+        """Receives digests at 'ip:port'.
+
+        Raises:
+          OSError: The address can not be used.
+        """
+        host, _, port = address.rpartition(':')
+        (
+            transport,
+            _,
+        ) = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: _Datagrams(self._on_data), (host, int(port))
+        )
+        self._transport = transport
+
+    def close(self) -> None:
+        """Stops receiving."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def send(self, addresses: tuple[str, ...], digest: digests.Digest) -> None:
+        """Sends a digest; one that is lost is followed by the next."""
+        if self._transport is None:
+            return
+        data = digests.encode(digest)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            LOG.warning('digest of %d bytes is not sent', len(data))
+            return
+        for address in addresses:
+            host, _, port = address.rpartition(':')
+            self._transport.sendto(data, (host, int(port)))
+
+    def handle(self, exchange: http_exchange.Exchange) -> None:
+        """Answers another gateway that asks for beliefs."""
+        query = urllib.parse.parse_qs(exchange.query)
+        prefix = query.get('prefix', [''])[0]
+        listed = self._holding(prefix)
+        if exchange.path != BELIEFS_PATH or listed is None:
+            exchange.refuse(errors.UnknownPath(exchange.path))
+            return
+        body = msgspec.msgpack.encode(listed)
+        exchange.respond(200, [('Content-Type', CONTENT_TYPE)], body)
+
+    async def fetch(self, address: str, prefix: str) -> None:
+        """Asks another gateway; BeliefsOffered follows if it answers."""
+        query = urllib.parse.urlencode({'prefix': prefix})
+        result = await self._client.request(
+            'GET',
+            address,
+            f'{BELIEFS_PATH}?{query}',
+            {},
+            b'',
+            clock.now_ms() + FETCH_TIMEOUT_MS,
+            repeatable=True,
+        )
+        if not isinstance(result, Success) or result.unwrap().status != 200:
+            LOG.info('gateway at %s told nothing of %s', address, prefix)
+            return
+        try:
+            listed = msgspec.msgpack.decode(
+                result.unwrap().body, type=platform.Listed
+            )
+        except msgspec.MsgspecError:
+            LOG.warning('gateway at %s sent no beliefs', address)
+            return
+        self._on_event(events.BeliefsOffered(listed))
+
+    def _on_data(self, data: bytes) -> None:
+        digest = digests.decode(data)
+        if digest is None:
+            LOG.warning('datagram of %d bytes is no digest', len(data))
+            return
+        self._on_event(events.DigestReceived(digest))
--- /dev/null
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
@@ -0,0 +1,323 @@
+"""The gateway's process: its reducer between callers and servers."""
+
+from collections.abc import Callable
+import signal
+import sys
+from typing import Any, NamedTuple, Protocol
+import uuid
+
+from ragwortgw_core import budgets
+from ragwortgw_core import effects as core_effects
+from ragwortgw_core import errors
+from ragwortgw_core import events as core_events
+from ragwortgw_core import platform
+from ragwortgw_core import recording
+from ragwortgw_gateway import documents
+from ragwortgw_gateway import events
+from ragwortgw_gateway import formats as store_formats
+from ragwortgw_gateway import gateway
+from ragwortgw_server import backend_calls
+from ragwortgw_server import bounded_stream
+from ragwortgw_server import clock
+from ragwortgw_server import connections
+from ragwortgw_server import gateway_callers
+from ragwortgw_server import gateway_effects
+from ragwortgw_server import gateway_peers
+from ragwortgw_server import gateway_protocol
+from ragwortgw_server import health_api
+from ragwortgw_server import http_client
+from ragwortgw_server import http_exchange
+from ragwortgw_server import http_server
+from ragwortgw_server import loop as loops
+from ragwortgw_server import shell
+from ragwortgw_server import timeline
+
+#: Lines of the log, a second and at once; lines on single requests leave
+#: the last part to changes of belief.
+LINES_PER_S = 400.0
+BURST_LINES = 1_600.0
+RESERVED_LINES = 800.0
+#: Lines that tell of a change of what the process believes.
+CHANGE_KINDS = frozenset(
+    {
+        'configuration',
+        'rollout-candidate-bad',
+        'rollout-ordered',
+        'rollout-phase',
+        'rollout-step',
+        'rollout-step-written',
+        'server',
+        'server-suspended',
+        'settings-reloaded',
+        'started',
+        'stopped',
+        'stopping',
+        'store-lost',
+        'store-regained',
+        'value-unreadable',
+    }
+)
+LEFT_OUT_INTERVAL_MS = 1_000
+STANDARD_OUTPUT = 1
+
+
+class Settings(NamedTuple):
+    """Settings of a gateway.
+
+    Args:
+      id: Id of the host.
+      zone: Availability zone.
+      caller_listen: Where callers are served, 'ip:port'.
+      ready_listen: Where the balancer asks whether it may send callers.
+      ready_path: Path of that question.
+      peer_listen: Where other gateways send digests and ask for beliefs.
+      metrics_listen: Where metrics are served, '' for nowhere.
+      seeds: Addresses of gateways to speak to before the store told any.
+      connection_limit: Connections of callers at a time.
+      body_limit_bytes: Bodies that are being received, all together.
+      options: Limits of the decisions.
+    """
+
+    id: str
+    zone: str
+    caller_listen: str
+    ready_listen: str
+    ready_path: str
+    peer_listen: str
+    metrics_listen: str
+    seeds: tuple[str, ...]
+    connection_limit: int
+    body_limit_bytes: int
+    options: gateway.Options
+
+
+class Store(Protocol):
+    """A deployment's store."""
+
+    async def call(
+        self, call: platform.Call, deadline_ms: int
+    ) -> platform.Result:
+        """Makes one call; its result is Unavailable without an answer."""
+
+
+class Deployment(NamedTuple):
+    """What the gateway needs to know of the place that it runs in.
+
+    Args:
+      protocol: Headers of callers and backend servers.
+      formats: Keys and values of the store.
+      open_store: Makes the client of the store.
+      reload: Reads the settings again and returns what changed.
+    """
+
+    protocol: gateway_protocol.BackendProtocol
+    formats: store_formats.Formats
+    open_store: Callable[[http_client.HttpClient], Store]
+    reload: Callable[[], tuple[str, ...]]
+
+
+class GatewayProcess(shell.Shell):
+    """A gateway with its listeners and clients."""
+
+    def __init__(
+        self, loop: loops.Loop, settings: Settings, deployment: Deployment
+    ) -> None:
+        incarnation = f'{settings.id}-{uuid.uuid4().hex[:12]}'
+        self.log = bounded_stream.BoundedStream(STANDARD_OUTPUT)
+        super().__init__(
+            loop,
+            gateway.REDUCER,
+            gateway.new_gateway,
+            recording.Start(
+                'gateway',
+                (
+                    settings.id,
+                    incarnation,
+                    settings.zone,
+                    settings.peer_listen,
+                    deployment.formats,
+                    settings.options,
+                    settings.seeds,
+                ),
+            ),
+            timeline.Timeline(settings.id, 'gateway', settings.zone, self.log),
+        )
+        self.use(gateway_effects.applies)
+        self.settings = settings
+        self._deployment = deployment
+        connections.open_connections(loop).probes = True
+        self.http = http_client.open_http_client(loop)
+        self.store = deployment.open_store(self.http)
+        self.callers = gateway_callers.GatewayCallers(
+            deployment.protocol, self.emit
+        )
+        self.calls = backend_calls.BackendCalls(
+            loop, deployment.protocol, self.callers, self.emit
+        )
+        self.peers = gateway_peers.GatewayPeers(
+            self.http, self._holding, self.emit
+        )
+        self.health = health_api.new_health_api(
+            self.metrics, lambda: self.state.ready
+        )
+        self._open_servers()
+        self._lines = budgets.TokenBucket(LINES_PER_S, BURST_LINES)
+        self._lines_left_out = 0
+        self._left_out_deadline_ms = 0
+        self._exiting = False
+
+    def _open_servers(self) -> None:
+        settings = self.settings
+        self.caller_server = http_server.open_http_server(
+            self.loop,
+            settings.caller_listen,
+            self.callers.handle,
+            limits=http_server.Limits(
+                connections=settings.connection_limit,
+                total_body_bytes=settings.body_limit_bytes,
+            ),
+            on_refused=self._count_refused,
+        )
+        self.ready_server = http_server.open_http_server(
+            self.loop, settings.ready_listen, self._handle_ready
+        )
+        self.peer_server = http_server.open_http_server(
+            self.loop, settings.peer_listen, self.peers.handle
+        )
+        self.metrics_server = None
+        if settings.metrics_listen:
+            self.metrics_server = http_server.open_http_server(
+                self.loop, settings.metrics_listen, self.health.handle
+            )
+
+    def close(self) -> None:
+        """Closes listeners, clients and the log."""
+        self.calls.close()
+        self.peers.close()
+        self.caller_server.shut()
+        self.ready_server.shut()
+        self.peer_server.shut()
+        if self.metrics_server is not None:
+            self.metrics_server.shut()
+        self.http.close()
+        super().close()
+
+    async def start(self) -> None:
+        """Starts to listen, to follow the store and to tick."""
+        await self.peers.listen(self.settings.peer_listen)
+        self.record(
+            core_effects.Record(
+                'started',
+                {
+                    'incarnation': self.state.incarnation,
+                    'callers': self.settings.caller_listen,
+                    'peers': self.settings.peer_listen,
+                },
+            )
+        )
+        self.start_ticks()
+
+    def start_ticks(self) -> None:
+        """Passes on which servers were heard, then ticks."""
+        if self.calls.heard:
+            server_ids = tuple(self.calls.heard)
+            self.calls.heard.clear()
+            self.emit(events.ServersHeard(server_ids))
+        super().start_ticks()
+
+    def answer_failure(self, event: Any) -> None:
+        """Refuses the caller of a request that the reducer failed on."""
+        if isinstance(event, events.RequestArrived):
+            self.callers.refuse(event.request.id, errors.InternalError())
+
+    def stop(self) -> None:
+        """Begins a planned stop; callers are asked to leave."""
+        self.caller_server.retire()
+        super().stop()
+
+    def reload(self) -> None:
+        """Reads the settings again."""
+        self.emit(events.SettingsReloaded(self._deployment.reload()))
+
+    def exit(self) -> None:
+        """Ends the process once callers have all that was sent."""
+        if not self._exiting:
+            self._exiting = True
+            self.spawn(self._exit())
+
+    async def call_store(
+        self, op_id: int, call: platform.Call, deadline_ms: int
+    ) -> None:
+        """Calls the store and passes the result on."""
+        began_ms = clock.now_ms()
+        result = await self.store.call(call, deadline_ms)
+        labels = (
+            ('call', type(call).__name__),
+            ('result', type(result).__name__),
+        )
+        self.metrics.count(core_effects.Count('gateway_store_calls', labels))
+        if not isinstance(call, platform.WatchPrefix):
+            took_ms = clock.now_ms() - began_ms
+            self.metrics.observe(
+                core_effects.Observe('gateway_store_ms', (), took_ms)
+            )
+        self.emit(core_events.PlatformAnswered(op_id, result))
+
+    def limit_callers(self, limits: documents.CallerLimits) -> None:
+        """Puts new limits on callers' connections into force."""
+        self.caller_server.limits = self.caller_server.limits._replace(
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+            head_ms=limits.head_ms,
+            idle_ms=limits.idle_ms,
+        )
+
+    def record(self, effect: core_effects.Record) -> None:
+        """Writes a line of the log, unless there are too many."""
+        now_ms = clock.now_ms()
+        reserve = 0.0 if effect.kind in CHANGE_KINDS else RESERVED_LINES
+        if not self._lines.take(now_ms, reserve=reserve):
+            self._lines_left_out += 1
+            return
+        self.timeline.record(effect)
+        left_out = self._lines_left_out + self.log.lines_left_out
+        if left_out and now_ms >= self._left_out_deadline_ms:
+            self._left_out_deadline_ms = now_ms + LEFT_OUT_INTERVAL_MS
+            self._lines_left_out = self.log.lines_left_out = 0
+            fields = {'lines': left_out}
+            self.timeline.record(core_effects.Record('left-out', fields))
+
+    async def _exit(self) -> None:
+        await self.caller_server.wait_flushed()
+        self.loop.stop()
+
+    def _handle_ready(self, exchange: http_exchange.Exchange) -> None:
+        if exchange.path != self.settings.ready_path:
+            exchange.refuse(errors.UnknownPath(exchange.path))
+            return
+        exchange.respond(200 if self.state.ready else 503, [], b'')
+
+    def _holding(self, prefix: str) -> platform.Listed | None:
+        followed = self.state.followed_by_prefix.get(prefix)
+        return None if followed is None else followed.listed
+
+    def _count_refused(self, failure: Any) -> None:
+        """Counts a request that was refused before it was whole."""
+        labels = (('failure', failure.slug),)
+        self.metrics.count(core_effects.Count('http_refused', labels))
+        fields = {'failure': failure.slug}
+        self.record(core_effects.Record('request-malformed', fields))
+
+
+def run(settings: Settings, deployment: Deployment) -> None:
+    """Runs a gateway until it is told to stop.
+
+    Args:
+      settings: Its settings.
+      deployment: The place that it runs in.
+    """
+    with loops.open_loop() as loop:
+        with GatewayProcess(loop, settings, deployment) as process:
+            loop.on_signal(signal.SIGHUP, process.reload)
+            shell.run(process, settings.options.stop_ms)
+            sys.stdout.flush()
--- a/packages/ragwortgw-server/ragwortgw_server/http_channel.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_channel.py
@@ -28,7 +28,11 @@
 
 
 class Call(NamedTuple):
-    """A request, ready to be sent; deadline in Unix ms."""
+    """A request, ready to be sent; deadline in Unix ms.
+
+    host is the Host header, the address where it is empty; lines are
+    headers of which there may be several of one name.
+    """
 
     method: str
     address: str
@@ -36,6 +40,8 @@
     headers: Mapping[str, str]
     body: bytes
     deadline_ms: int
+    host: str = ''
+    lines: http_parsing.Lines = ()
 
 
 class Channel:
@@ -44,6 +50,7 @@
     def __init__(self, connection: connections.Connection) -> None:
         self.connection = connection
         self.idle_since_ms = 0
+        self.idle_deadline_ms = 0
         self.uses = 0
         self.head: http_parsing.ResponseHead | None = None
         self.failure: HttpFailure | None = None
@@ -115,6 +122,24 @@
         while self.head is None and self.failure is None:
             await self._wait()
 
+    async def skip_response(self) -> None:
+        """Reads past a response that answers an earlier request.
+
+        The next response, if any, is the one to wait for.
+        """
+        while await self.next_piece():
+            pass
+        if self.failure is not None or self._body is None:
+            return
+        if self._ends_with_connection:
+            self._fail('protocol')
+            return
+        rest = self._body.leftover
+        self.head = None
+        self._body = None
+        if rest:
+            self._on_data(rest)
+
     async def next_piece(self) -> bytes:
         """Waits for a piece of the body; b'' at its end or a failure."""
         while not self._pieces:
@@ -225,9 +250,11 @@
 
 
 def _encode(call: Call) -> bytes:
-    lines = [f'{call.method} {call.path} HTTP/1.1', f'Host: {call.address}']
+    host = call.host or call.address
+    lines = [f'{call.method} {call.path} HTTP/1.1', f'Host: {host}']
     if call.body or call.method in ('POST', 'PUT', 'PATCH'):
         lines.append(f'Content-Length: {len(call.body)}')
     lines.extend(f'{name}: {value}' for name, value in call.headers.items())
+    lines.extend(f'{name}: {value}' for name, value in call.lines)
     head = '\r\n'.join(lines) + '\r\n\r\n'
     return head.encode('latin-1') + call.body
--- a/packages/ragwortgw-server/ragwortgw_server/http_exchange.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_exchange.py
@@ -38,6 +38,8 @@
       path: Path, as sent.
       query: Query string without '?'.
       headers: Headers by name in lower case.
+      target: Path and query, as sent.
+      lines: Headers, as sent.
       body: Whole body.
       gone: Whether the caller closed its connection.
       on_gone: Called once if that happens before the answer is whole.
@@ -50,6 +52,8 @@
         self.path = head.path
         self.query = head.query
         self.headers = head.headers
+        self.target = head.target
+        self.lines = head.lines
         self.body = body
         self.gone = False
         self.on_gone: Callable[[], None] = lambda: None
--- a/packages/ragwortgw-server/ragwortgw_server/http_parsing.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_parsing.py
@@ -26,6 +26,9 @@
 _HEADER = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00\r\n]*\Z")
 _DIGITS = re.compile(r'[0-9]{1,15}\Z')
 _CHUNK_SIZE = re.compile(rb'[0-9A-Fa-f]{1,8}\Z')
+#: Headers that decide where a message goes or ends; two of one kind could
+#: be read in two ways.
+_SINGLE_HEADERS = frozenset({b'host', b'content-length', b'transfer-encoding'})
 _STATUS_LINE = re.compile(rb'(HTTP/1\.[01] [0-9]{3})(?: [^\r\n]*)?\r\n')
 
 
@@ -35,8 +38,14 @@
     reason: str
 
 
+Lines = tuple[tuple[str, str], ...]
+
+
 class RequestHead(NamedTuple):
-    """Start line and headers of a request; header names in lower case."""
+    """Start line and headers of a request; header names in lower case.
+
+    target and lines hold the request target and the headers as sent.
+    """
 
     method: str
     path: str
@@ -44,14 +53,20 @@
     headers: dict[str, str]
     keep_alive: bool
     http_1_0: bool
+    target: str = '/'
+    lines: Lines = ()
 
 
 class ResponseHead(NamedTuple):
-    """Start line and headers of a response; header names in lower case."""
+    """Start line and headers of a response; header names in lower case.
+
+    lines holds the headers as sent.
+    """
 
     status: int
     headers: dict[str, str]
     keep_alive: bool
+    lines: Lines = ()
 
 
 class LengthBody:
@@ -211,6 +226,8 @@
             headers=headers,
             keep_alive=_keep_alive(parser.get_version(), headers),
             http_1_0=parser.get_version() == (1, 0),
+            target=block.split(b' ', 2)[1].decode('latin-1'),
+            lines=_lines(block),
         )
     )
 
@@ -238,6 +255,7 @@
             status=parser.get_status_code(),
             headers=headers,
             keep_alive=_keep_alive(parser.get_version(), headers),
+            lines=_lines(block),
         )
     )
 
@@ -289,12 +307,26 @@
         return BadMessage('control character in start line')
     if len(lines) > MAX_HEADER_LINES + 1:
         return BadMessage('too many header lines')
+    framing: set[bytes] = set()
     for line in lines[1:]:
         if _HEADER.match(line) is None:
             return BadMessage('invalid header line')
+        name = line.split(b':', 1)[0].lower()
+        if name in _SINGLE_HEADERS:
+            if name in framing:
+                return BadMessage(f'{name.decode()} given twice')
+            framing.add(name)
     return None
 
 
+def _lines(block: bytes) -> Lines:
+    pairs = (
+        line.partition(':')
+        for line in block.decode('latin-1').split('\r\n')[1:-2]
+    )
+    return tuple((name, value.strip(' \t')) for name, _, value in pairs)
+
+
 def _headers(parser: parsers.HttpParser) -> dict[str, str]:
     return {
         name.lower(): value for name, value in parser.get_headers().items()
--- a/packages/ragwortgw-server/ragwortgw_server/http_server.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_server.py
@@ -50,6 +50,7 @@
         super().__init__(bind, channel=f'http-{id(self):x}')
         self.limits = limits
         self.draining = False
+        self._stopped = False
         self._loop = loop
         self._handle = handle
         self._tls = tls
@@ -88,10 +89,21 @@
         """Connections of callers."""
         return len(self._sessions)
 
+    def retire(self) -> None:
+        """Lets connections end with their next answer; listens on."""
+        self.draining = True
+
+    def close_idle(self) -> None:
+        """Closes connections on which no request is under way."""
+        for session in list(self._sessions):
+            if session.idle:
+                session.connection.close()
+
     def drain(self) -> None:
         """Stops listening; connections end with their present answer."""
-        if self.draining:
+        if self._stopped:
             return
+        self._stopped = True
         self._accept()
         self.draining = True
         if self._poller is not None:
@@ -226,7 +238,7 @@
         self._loop.asyncio_loop.call_later(ACCEPT_PAUSE_S, self._resume_accept)
 
     def _resume_accept(self) -> None:
-        if self._sock is not None and not self.draining:
+        if self._sock is not None and not self._stopped:
             self._poller.addReader(self, self._sock)
 
 
--- a/packages/ragwortgw-server/ragwortgw_server/http_session.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_session.py
@@ -77,7 +77,6 @@
     ) -> None:
         self.connection = connection
         self._server = server
-        self._limits = server.limits
         self._buffer = b''
         self._head: http_parsing.RequestHead | None = None
         self._body: http_parsing.Body | None = None
@@ -93,6 +92,11 @@
         connection.on_closed = self._on_closed
         self._arm(self._limits.head_ms, self._on_head_late)
 
+    @property
+    def _limits(self) -> Limits:
+        """The limits in force, which may change while it is open."""
+        return self._server.limits
+
     @property
     def idle(self) -> bool:
         """Whether no request is under way."""
--- a/packages/ragwortgw-server/ragwortgw_server/timeline.py
+++ b/packages/ragwortgw-server/ragwortgw_server/timeline.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import sys
-from typing import Any, NamedTuple, TextIO
+from typing import Any, NamedTuple, Protocol
 
 import msgspec
 
@@ -16,6 +16,19 @@
 MAX_ORDER = 2**32 - 1
 
 
+class Target(Protocol):
+    """Where lines go: a text file, or something like it."""
+
+    def write(self, text: str, /) -> int:
+        """Takes whole lines."""
+
+    def flush(self) -> None:
+        """Passes on what was taken."""
+
+    def close(self) -> None:
+        """Ends it."""
+
+
 class HybridStamp(NamedTuple):
     """A hybrid logical time; stamps compare like events they follow.
 
@@ -71,7 +84,7 @@
         process_id: str,
         role: str,
         zone: str,
-        target: TextIO | None,
+        target: Target | None,
         now_ms: Callable[[], int] = clock.now_ms,
     ) -> None:
         self.now_ms = now_ms
@@ -166,7 +179,7 @@
     Raises:
       OSError: The file can not be opened.
     """
-    stream: TextIO | None = None
+    stream: Target | None = None
     if target == '-':
         stream = sys.stderr
     elif target:
