Follow the store by one short watch, and list again now and then

Change: one watch over all keys of 1.5 s at most instead of three of 25 s, and a list every 8 s. Gateways fetch from each other only what is newer than they know.

Ruled out: leaving the long watch and asking the other gateways: all of them miss the same changes.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -4,6 +4,22 @@
 
 import msgspec
 
+from ragwortgw_core import platform
+
+
+class Beliefs(NamedTuple):
+    """What one gateway holds of the store, as another asks for it.
+
+    Args:
+      revision: Store revision up to which it knows all.
+      newer: Values newer than the revision that the other one named.
+      keys: All keys that it holds.
+    """
+
+    revision: int
+    newer: tuple[platform.Found, ...]
+    keys: tuple[str, ...]
+
 
 class ServerLoad(NamedTuple):
     """Work of one gateway at a backend server.
@@ -71,7 +87,7 @@
       incarnation: Names one start of the process.
       sequence: Counts its digests.
       address: 'ip:port' where it sends and receives digests.
-      revisions_by_prefix: Store revision held of each followed prefix.
+      revision: Store revision of the last change that it has seen.
       loads_by_server: Its work by backend server; idle ones are left out.
       suspended_ms_by_server: Servers that it keeps away from, and how
         long still.
@@ -83,7 +99,7 @@
     incarnation: str
     sequence: int
     address: str
-    revisions_by_prefix: dict[str, int]
+    revision: int
     loads_by_server: dict[str, ServerLoad]
     suspended_ms_by_server: dict[str, int]
     crashes: tuple[Crash, ...]
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -220,7 +220,7 @@
                 'running_there': load.running,
                 'pending_there_ms': round(load.pending_ms),
                 'configuration': _version(state),
-                'registry_age_ms': stamp.now_ms - state.server_values.heard_ms,
+                'registry_age_ms': stamp.now_ms - state.values.heard_ms,
                 'left_ms': active.deadline_ms - stamp.now_ms,
             },
         ),
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
@@ -71,10 +71,10 @@
 
 
 class FetchBeliefs(NamedTuple):
-    """Asks another gateway for what it holds of a prefix of the store."""
+    """Asks another gateway for what changed after a store revision."""
 
     address: str
-    prefix: str
+    revision: int
 
 
 class CloseCallers(NamedTuple):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -3,7 +3,6 @@
 from typing import Literal, NamedTuple
 
 from ragwortgw_core import errors
-from ragwortgw_core import platform
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import requests
 
@@ -81,9 +80,9 @@
 
 
 class BeliefsOffered(NamedTuple):
-    """Another gateway sent what it holds of a prefix of the store."""
+    """Another gateway sent what it holds of the store."""
 
-    listed: platform.Listed
+    beliefs: digests.Beliefs
 
 
 class SettingsReloaded(NamedTuple):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
@@ -1,15 +1,24 @@
-"""Follows all values under a prefix of the store."""
+"""Follows all values under a prefix of the store.
+
+A list is followed by watches from revision to revision. A watch may miss
+changes without a sign, if it waits while the store forgets its history: no
+watch waits long, and the list is read again now and then.
+"""
 
 from typing import Any
 
 from ragwortgw_core import events
 from ragwortgw_core import operations
 from ragwortgw_core import platform
+from ragwortgw_gateway import digests
 from ragwortgw_gateway import notices
 
-#: The longest wait that stores commonly allow; each watch is one call.
-WATCH_MS = 25_000
-WATCH_GRACE_MS = 1_500
+#: Part of the bound within which a configuration has to be in force, which
+#: is two seconds or more; each watch is one call.
+WATCH_MS = 1_500
+WATCH_GRACE_MS = 700
+#: The list is read again after this time; it costs as much as a watch.
+RELIST_INTERVAL_MS = 8_000
 LIST_TIMEOUT_MS = 2_000
 FIRST_RETRY_MS = 200
 MAX_RETRY_MS = 1_000
@@ -38,16 +47,26 @@
         self._owner = f'following {prefix}'
         self._generation = 0
         self._calling = False
-        self._must_list = True
+        self._list_deadline_ms = 0
         self._call_deadline_ms = 0
         self._retry_ms = FIRST_RETRY_MS
         calls.register(self._owner, self)
 
     @property
-    def listed(self) -> platform.Listed:
-        """What is held, to be offered to another gateway."""
-        return platform.Listed(
-            self.prefix, tuple(self._found_by_key.values()), self.revision
+    def found(self) -> tuple[platform.Found, ...]:
+        """The values held."""
+        return tuple(self._found_by_key.values())
+
+    def since(self, revision: int) -> digests.Beliefs:
+        """Returns what another gateway lacks that knows a revision."""
+        return digests.Beliefs(
+            self.revision,
+            tuple(
+                found
+                for found in self._found_by_key.values()
+                if found.revision > revision
+            ),
+            tuple(self._found_by_key),
         )
 
     def get(self, key: str) -> platform.Found | None:
@@ -61,7 +80,7 @@
         self._calling = True
         self._generation += 1
         call: platform.Call
-        if self._must_list:
+        if stamp.now_ms >= self._list_deadline_ms:
             call = platform.List(self.prefix)
             limit_ms = LIST_TIMEOUT_MS
         else:
@@ -83,10 +102,25 @@
         self._call_deadline_ms = 0
         self._retry_ms = FIRST_RETRY_MS
 
-    def offer(self, stamp: events.Stamp, listed: platform.Listed) -> list[Any]:
-        """Takes what another gateway holds, if it is newer."""
-        if listed.revision <= self.revision:
+    def offer(
+        self, stamp: events.Stamp, beliefs: digests.Beliefs
+    ) -> list[Any]:
+        """Takes what another gateway holds, if it is newer.
+
+        A key that is neither sent nor held here was changed again after
+        the other gateway was asked; the next answer brings it.
+        """
+        if beliefs.revision <= self.revision:
             return []
+        found_by_key = {
+            key: self._found_by_key[key]
+            for key in beliefs.keys
+            if key in self._found_by_key
+        }
+        found_by_key.update({found.key: found for found in beliefs.newer})
+        listed = platform.Listed(
+            self.prefix, tuple(found_by_key.values()), beliefs.revision
+        )
         return self._take_all(stamp, listed, second_hand=True)
 
     def on_result(
@@ -107,10 +141,10 @@
         self._retry_ms = FIRST_RETRY_MS
         self._call_deadline_ms = stamp.now_ms
         if isinstance(result, platform.Compacted):
-            self._must_list = True
+            self._list_deadline_ms = 0
             return []
         if isinstance(result, platform.Listed):
-            self._must_list = False
+            self._list_deadline_ms = stamp.now_ms + RELIST_INTERVAL_MS
             if result.revision < self.revision:
                 # Another gateway told of a newer state meanwhile.
                 return []
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -122,8 +122,7 @@
     if not state.started_ms:
         state.started_ms = stamp.now_ms
     ticked = state.link.on_tick(stamp)
-    for followed in state.followed_by_prefix.values():
-        ticked += followed.on_tick(stamp)
+    ticked += state.values.on_tick(stamp)
     ticked += state.operations.on_tick(stamp)
     outputs = gateway_state.apply_notices(state, stamp, ticked)
     outputs += attempts.forget_servers(
@@ -146,8 +145,7 @@
         state.link.failed(stamp)
     else:
         # The next watch starts at once, not at the next tick.
-        for followed in state.followed_by_prefix.values():
-            outputs += followed.on_tick(stamp)
+        outputs += state.values.on_tick(stamp)
     return gateway_state.apply_notices(state, stamp, outputs)
 
 
@@ -173,10 +171,7 @@
 def on_beliefs(
     state: State, stamp: core_events.Stamp, event: events.BeliefsOffered
 ) -> list[Any]:
-    followed = state.followed_by_prefix.get(event.listed.prefix)
-    if followed is None:
-        return []
-    outputs = followed.offer(stamp, event.listed)
+    outputs = state.values.offer(stamp, event.beliefs)
     return gateway_state.apply_notices(state, stamp, outputs)
 
 
@@ -221,8 +216,7 @@
 def on_store_regained(
     state: State, stamp: core_events.Stamp, notice: notices.StoreRegained
 ) -> list[Any]:
-    for followed in state.followed_by_prefix.values():
-        followed.restart()
+    state.values.restart()
     fields = {'outage_ms': notice.outage_ms}
     return [core_effects.Record('store-regained', fields)]
 
@@ -231,11 +225,24 @@
 def on_prefix_changed(
     state: State, stamp: core_events.Stamp, notice: notices.PrefixChanged
 ) -> list[Any]:
-    if notice.prefix == state.formats.operator_prefix:
-        return _take_orders(state, stamp, notice)
-    if notice.prefix == state.formats.server_prefix:
-        return _take_servers(state, stamp, notice)
-    return _take_own(state, stamp, notice)
+    formats = state.formats
+    return [
+        *_take_own(state, stamp, _part(notice, formats.own_prefix)),
+        *_take_orders(state, stamp, _part(notice, formats.operator_prefix)),
+        *_take_servers(state, stamp, _part(notice, formats.server_prefix)),
+    ]
+
+
+def _part(notice: notices.PrefixChanged, prefix: str) -> notices.PrefixChanged:
+    """Returns the part of a change that is under a longer prefix."""
+    return notices.PrefixChanged(
+        prefix,
+        tuple(
+            found for found in notice.written if found.key.startswith(prefix)
+        ),
+        tuple(key for key in notice.deleted if key.startswith(prefix)),
+        notice.second_hand,
+    )
 
 
 def _take_orders(
@@ -252,8 +259,9 @@
             outputs.append(_unreadable(found))
             continue
         state.rollouts.ordered(order, stamp.now_ms, settled)
-        for step in state.own_values.listed.found:
-            state.rollouts.stepped(step, stamp.now_ms)
+        for step in state.values.found:
+            if step.key.startswith(state.formats.own_prefix):
+                state.rollouts.stepped(step, stamp.now_ms)
         fields = {**order._asdict(), 'second_hand': notice.second_hand}
         outputs.append(core_effects.Record('rollout-ordered', fields))
     for key in notice.deleted:
@@ -422,10 +430,7 @@
         state.incarnation,
         state.next_digest,
         state.digest_address,
-        {
-            prefix: followed.changed_revision
-            for prefix, followed in state.followed_by_prefix.items()
-        },
+        state.values.changed_revision,
         state.loads.own(),
         state.suspects.own(now_ms),
         state.crashes.own(now_ms),
@@ -435,27 +440,23 @@
 
 def _catch_up(state: State, stamp: core_events.Stamp) -> list[Any]:
     """Fetches from another gateway what the store did not tell."""
-    outputs: list[Any] = []
-    for prefix, followed in state.followed_by_prefix.items():
-        ahead = [
-            peer.digest
-            for peer in state.peers_by_id.values()
-            if peer.digest.revisions_by_prefix.get(prefix, 0)
-            > followed.revision
-        ]
-        if not ahead:
-            state.behind_since_ms_by_prefix.pop(prefix, None)
-            continue
-        since_ms = state.behind_since_ms_by_prefix.setdefault(
-            prefix, stamp.now_ms
-        )
-        patience_ms = FETCH_PATIENCE_MS if followed.revision else 0
-        if stamp.now_ms < max(since_ms + patience_ms, state.fetch_deadline_ms):
-            continue
-        state.fetch_deadline_ms = stamp.now_ms + FETCH_INTERVAL_MS
-        address = ahead[stamp.seed % len(ahead)].address
-        outputs.append(effects.FetchBeliefs(address, prefix))
-    return outputs
+    revision = state.values.revision
+    ahead = [
+        peer.digest
+        for peer in state.peers_by_id.values()
+        if peer.digest.revision > revision
+    ]
+    if not ahead:
+        state.behind_since_ms = 0
+        return []
+    state.behind_since_ms = state.behind_since_ms or stamp.now_ms
+    patience_ms = FETCH_PATIENCE_MS if revision else 0
+    due_ms = max(state.behind_since_ms + patience_ms, state.fetch_deadline_ms)
+    if stamp.now_ms < due_ms:
+        return []
+    state.fetch_deadline_ms = stamp.now_ms + FETCH_INTERVAL_MS
+    address = ahead[stamp.seed % len(ahead)].address
+    return [effects.FetchBeliefs(address, revision)]
 
 
 def _go_on_stopping(state: State, stamp: core_events.Stamp) -> list[Any]:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -206,17 +206,7 @@
             {'address': digest_address, 'incarnation': incarnation},
             incarnation,
         )
-        self.operator_values = self._follow(formats.operator_prefix)
-        self.server_values = self._follow(formats.server_prefix)
-        self.own_values = self._follow(formats.own_prefix)
-        self.followed_by_prefix = {
-            each.prefix: each
-            for each in (
-                self.operator_values,
-                self.server_values,
-                self.own_values,
-            )
-        }
+        self.values = following.FollowedPrefix(self.operations, '')
         self.configuration: documents.Configuration | None = None
         self.table: routes.RouteTable | None = None
         self.fleet = fleet.Fleet()
@@ -243,7 +233,7 @@
         self.peers_by_id: dict[str, Peer] = {}
         self.peer_addresses_by_id: dict[str, str] = {}
         self.heard_ms_by_server: dict[str, int] = {}
-        self.behind_since_ms_by_prefix: dict[str, int] = {}
+        self.behind_since_ms = 0
         self.started_ms = 0
         self.next_attempt = 0
         self.next_digest = 0
@@ -265,7 +255,7 @@
         return (
             not self.stopping
             and self.table is not None
-            and self.server_values.revision > 0
+            and self.values.revision > 0
         )
 
     def service(self, service_id: str) -> documents.Service | None:
@@ -274,9 +264,6 @@
             return None
         return self.configuration.services_by_id.get(service_id)
 
-    def _follow(self, prefix: str) -> following.FollowedPrefix:
-        return following.FollowedPrefix(self.operations, prefix)
-
 
 REDUCER: reducer.Reducer[State] = reducer.Reducer()
 
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
@@ -79,7 +79,7 @@
 @applies(effects.FetchBeliefs)
 def apply_fetch(process: Any, effect: effects.FetchBeliefs) -> None:
     """Asks another gateway for what it holds."""
-    process.spawn(process.peers.fetch(effect.address, effect.prefix))
+    process.spawn(process.peers.fetch(effect.address, effect.revision))
 
 
 @applies(effects.CloseCallers)
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_peers.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_peers.py
@@ -10,7 +10,6 @@
 from returns.result import Success
 
 from ragwortgw_core import errors
-from ragwortgw_core import platform
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import events
 from ragwortgw_server import clock
@@ -38,18 +37,18 @@
 
     Args:
       client: HTTP client.
-      holding: Returns what is held of a prefix, None if it is unknown.
+      beliefs: Returns what is held that is newer than a store revision.
       on_event: Takes DigestReceived and BeliefsOffered.
     """
 
     def __init__(
         self,
         client: http_client.HttpClient,
-        holding: Callable[[str], platform.Listed | None],
+        beliefs: Callable[[int], digests.Beliefs],
         on_event: Callable[[Any], None],
     ) -> None:
         self._client = client
-        self._holding = holding
+        self._beliefs = beliefs
         self._on_event = on_event
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -95,37 +94,38 @@
     def handle(self, exchange: http_exchange.Exchange) -> None:
         """Answers another gateway that asks for beliefs."""
         query = urllib.parse.parse_qs(exchange.query)
-        prefix = query.get('prefix', [''])[0]
-        listed = self._holding(prefix)
-        if exchange.path != BELIEFS_PATH or listed is None:
+        since = query.get('since', [''])[0]
+        if exchange.path != BELIEFS_PATH:
             exchange.refuse(errors.UnknownPath(exchange.path))
             return
-        body = msgspec.msgpack.encode(listed)
+        if not since.isdigit():
+            exchange.refuse(errors.MalformedRequest('since'))
+            return
+        body = msgspec.msgpack.encode(self._beliefs(int(since)))
         exchange.respond(200, [('Content-Type', CONTENT_TYPE)], body)
 
-    async def fetch(self, address: str, prefix: str) -> None:
+    async def fetch(self, address: str, revision: int) -> None:
         """Asks another gateway; BeliefsOffered follows if it answers."""
-        query = urllib.parse.urlencode({'prefix': prefix})
         result = await self._client.request(
             'GET',
             address,
-            f'{BELIEFS_PATH}?{query}',
+            f'{BELIEFS_PATH}?since={revision}',
             {},
             b'',
             clock.now_ms() + FETCH_TIMEOUT_MS,
             repeatable=True,
         )
         if not isinstance(result, Success) or result.unwrap().status != 200:
-            LOG.info('gateway at %s told nothing of %s', address, prefix)
+            LOG.info('gateway at %s told nothing', address)
             return
         try:
-            listed = msgspec.msgpack.decode(
-                result.unwrap().body, type=platform.Listed
+            beliefs = msgspec.msgpack.decode(
+                result.unwrap().body, type=digests.Beliefs
             )
         except msgspec.MsgspecError:
             LOG.warning('gateway at %s sent no beliefs', address)
             return
-        self._on_event(events.BeliefsOffered(listed))
+        self._on_event(events.BeliefsOffered(beliefs))
 
     def _on_data(self, data: bytes) -> None:
         digest = digests.decode(data)
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
@@ -12,6 +12,7 @@
 from ragwortgw_core import events as core_events
 from ragwortgw_core import platform
 from ragwortgw_core import recording
+from ragwortgw_gateway import digests
 from ragwortgw_gateway import documents
 from ragwortgw_gateway import events
 from ragwortgw_gateway import formats as store_formats
@@ -155,7 +156,7 @@
             loop, deployment.protocol, self.callers, self.emit
         )
         self.peers = gateway_peers.GatewayPeers(
-            self.http, self._holding, self.emit
+            self.http, self._beliefs, self.emit
         )
         self.health = health_api.new_health_api(
             self.metrics, lambda: self.state.ready
@@ -297,9 +298,8 @@
             return
         exchange.respond(200 if self.state.ready else 503, [], b'')
 
-    def _holding(self, prefix: str) -> platform.Listed | None:
-        followed = self.state.followed_by_prefix.get(prefix)
-        return None if followed is None else followed.listed
+    def _beliefs(self, revision: int) -> digests.Beliefs:
+        return self.state.values.since(revision)
 
     def _count_refused(self, failure: Any) -> None:
         """Counts a request that was refused before it was whole."""
