Refuse by rank what would begin late; count the whole work of a server

Change: each attempt counts with the time that it takes of its server, its prompt and part of its stream; a request is refused on arrival if its answer would begin after a share of its objective that depends on its rank, or if the server's work would not end well before its deadline. Whoever comes back as told goes by the first rank's share. A weak answer of a small model is delivered if the larger one would be too late.

Ruled out: a queue in the gateway; the runners' own queue takes the rank of a request, and prices fall on what is held and then refused.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -8,6 +8,7 @@
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import events
 from ragwortgw_gateway import gateway_state
+from ragwortgw_gateway import refusal
 from ragwortgw_gateway import suspicion
 
 REDUCER = gateway_state.REDUCER
@@ -79,6 +80,9 @@
     assert attempt is not None
     if attempt.delivered:
         active.runs += 1
+        state.pace.observe_stream(
+            attempt.model, stamp.now_ms - attempt.answered_ms
+        )
         _succeeded(state, active, attempt)
         return [
             effects.FinishStream(active.request.id),
@@ -308,9 +312,20 @@
     stamp: core_events.Stamp,
     active: gateway_state.Active,
 ) -> bool:
-    return not active.streaming and dispatching.may_ask_again(
-        state, stamp, active
-    )
+    """Tells whether a weak answer is dropped for that of a larger model.
+
+    It is not if the larger model would be too late: a weak answer now is
+    better than none.
+    """
+    if active.streaming or not dispatching.may_ask_again(state, stamp, active):
+        return False
+    _, servers = dispatching.choose_version(state, stamp, active)
+    larger = _larger(active)
+    placed = dispatching.place(state, stamp, active, larger, servers)
+    if placed is None:
+        return False
+    asked = dispatching.asked(state, stamp, active)
+    return refusal.excess_ms(asked, placed) <= 0
 
 
 def _larger(active: gateway_state.Active) -> Any:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -27,11 +27,13 @@
     Args:
       running: Requests in progress there.
       pending_ms: Time that the server needs to read their prompts.
+      work_ms: Time that it needs to finish them.
       tokens: Tokens of memory that they take.
     """
 
     running: int
     pending_ms: int
+    work_ms: int
     tokens: int
 
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -28,8 +28,10 @@
 #: Part of a server's connections that the gateways together use.
 CONNECTION_SHARE = 0.9
 #: Ranks that backend servers know, first and last.
-FIRST_URGENCY = 1
-LAST_URGENCY = 8
+FIRST_URGENCY = 0
+LAST_URGENCY = 9
+#: Ranks within one priority of an organisation, for its routes' own.
+URGENCIES_PER_PRIORITY = 3
 
 
 def dispatch(
@@ -58,10 +60,10 @@
     placed = place(state, stamp, active, choice, servers)
     if placed is None:
         return wait_or_refuse(state, stamp, active, bool(servers))
-    left_ms = active.deadline_ms - stamp.now_ms
-    if refusal.hopeless(placed.first_ms, left_ms) and not active.sends:
-        retry_ms = refusal.retry_after_ms(placed.first_ms, left_ms, stamp.seed)
-        return give_up(state, stamp, active, errors.Overloaded(retry_ms))
+    if not active.sends:
+        refused = refuse_excess(state, stamp, active, placed)
+        if refused is not None:
+            return refused
     if active.sends and not state.budget.spend(
         active.service, state.gateways, stamp.now_ms
     ):
@@ -70,6 +72,39 @@
     return send(state, stamp, active, choice, candidate, placed)
 
 
+def refuse_excess(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+    placed: placement.Placed,
+) -> list[Any] | None:
+    """Refuses a request that would be late, None if it would not."""
+    excess_ms = refusal.excess_ms(asked(state, stamp, active), placed)
+    if excess_ms <= 0:
+        return None
+    left_ms = active.deadline_ms - stamp.now_ms
+    retry_ms = refusal.retry_after_ms(excess_ms, left_ms, stamp.seed)
+    state.returns.refused(
+        active.request.fingerprint, stamp.now_ms, active.deadline_ms
+    )
+    active.last_failure = f'too late by {round(excess_ms)} ms'
+    return give_up(state, stamp, active, errors.Overloaded(retry_ms))
+
+
+def asked(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+) -> refusal.Asked:
+    """Returns what a request asks for."""
+    return refusal.Asked(
+        active.route.priority,
+        active.route.objective_ms,
+        active.deadline_ms - stamp.now_ms,
+        state.returns.returned(active.request.fingerprint, stamp.now_ms),
+    )
+
+
 def choose_model(
     state: gateway_state.State,
     stamp: events.Stamp,
@@ -201,7 +236,9 @@
             0 if service is None else service.cache_tokens,
         )
     load = state.loads.at(server.id)
-    state.loads.begin(attempt.id, server.id, placed.prompt_ms, tokens)
+    state.loads.begin(
+        attempt.id, server.id, placed.prompt_ms, placed.work_ms, tokens
+    )
     state.heard_ms_by_server.setdefault(server.id, stamp.now_ms)
     state.sessions.served(request.session, server.version, stamp.now_ms)
     note_rollout(state, active, requests=int(active.sends == 1))
@@ -219,6 +256,7 @@
                 'unread_tokens': placed.unread_tokens,
                 'running_there': load.running,
                 'pending_there_ms': round(load.pending_ms),
+                'work_there_ms': round(load.work_ms),
                 'configuration': _version(state),
                 'registry_age_ms': stamp.now_ms - state.values.heard_ms,
                 'left_ms': active.deadline_ms - stamp.now_ms,
@@ -240,7 +278,12 @@
         limit = max(2, min(MAX_CONNECTIONS, int(share)))
     urgency = None
     if attempt.model:
-        urgency = min(LAST_URGENCY, FIRST_URGENCY + 2 * active.priority)
+        urgency = min(
+            LAST_URGENCY,
+            FIRST_URGENCY
+            + URGENCIES_PER_PRIORITY * active.priority
+            + min(active.route.priority, URGENCIES_PER_PRIORITY - 1),
+        )
     after = 0
     if active.last_event > active.request.resumed_after:
         after = active.last_event
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -17,6 +17,7 @@
 from ragwortgw_gateway import prefixes
 from ragwortgw_gateway import requests
 from ragwortgw_gateway import retry_budget
+from ragwortgw_gateway import returns
 from ragwortgw_gateway import rollouts
 from ragwortgw_gateway import routes
 from ragwortgw_gateway import session_versions
@@ -216,6 +217,7 @@
         self.suspects = suspicion.Suspicion()
         self.crashes = crashes.CrashBook()
         self.tiers = tiers.TierBook()
+        self.returns = returns.ReturnBook()
         self.placement = placement.Placement(
             zone, self.loads, self.prefixes, self.pace, self.suspects
         )
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/loads.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/loads.py
@@ -17,25 +17,30 @@
       running: Requests in progress.
       pending_ms: Time that the server needs to read prompts that it has
         not begun to answer.
+      work_ms: Time that it needs to finish all requests.
       tokens: Tokens of memory in use.
     """
 
     running: int
     pending_ms: float
+    work_ms: float
     tokens: int
 
 
-IDLE = Load(0, 0.0, 0)
+IDLE = Load(0, 0.0, 0.0, 0)
 
 
 class _Work:
     """One attempt of this gateway."""
 
-    __slots__ = ('server_id', 'prompt_ms', 'tokens', 'answered')
+    __slots__ = ('server_id', 'prompt_ms', 'work_ms', 'tokens', 'answered')
 
-    def __init__(self, server_id: str, prompt_ms: float, tokens: int) -> None:
+    def __init__(
+        self, server_id: str, prompt_ms: float, work_ms: float, tokens: int
+    ) -> None:
         self.server_id = server_id
         self.prompt_ms = prompt_ms
+        self.work_ms = work_ms
         self.tokens = tokens
         self.answered = False
 
@@ -52,26 +57,42 @@
         self._others_by_server: dict[str, Load] = {}
 
     def begin(
-        self, attempt_id: str, server_id: str, prompt_ms: float, tokens: int
+        self,
+        attempt_id: str,
+        server_id: str,
+        prompt_ms: float,
+        work_ms: float,
+        tokens: int,
     ) -> None:
-        """Counts an attempt that is sent."""
-        work = _Work(server_id, prompt_ms, tokens)
+        """Counts an attempt that is sent.
+
+        Args:
+          attempt_id: The attempt.
+          server_id: The backend server.
+          prompt_ms: Time that the server needs to read the prompt.
+          work_ms: Time that it needs in all, with the prompt.
+          tokens: Tokens of memory that it takes.
+        """
+        work = _Work(server_id, prompt_ms, work_ms, tokens)
         self._works_by_attempt[attempt_id] = work
-        self._add(server_id, 1, prompt_ms, tokens)
+        self._add(server_id, Load(1, prompt_ms, work_ms, tokens))
 
     def answered(self, attempt_id: str) -> None:
         """Takes note that the prompt of an attempt is read."""
         work = self._works_by_attempt.get(attempt_id)
         if work is not None and not work.answered:
             work.answered = True
-            self._add(work.server_id, 0, -work.prompt_ms, 0)
+            work.work_ms -= work.prompt_ms
+            change = Load(0, -work.prompt_ms, -work.prompt_ms, 0)
+            self._add(work.server_id, change)
 
     def end(self, attempt_id: str) -> None:
         """Counts an attempt that is over, once."""
         self.answered(attempt_id)
         work = self._works_by_attempt.pop(attempt_id, None)
         if work is not None:
-            self._add(work.server_id, -1, 0.0, -work.tokens)
+            change = Load(-1, 0.0, -work.work_ms, -work.tokens)
+            self._add(work.server_id, change)
 
     def heard(
         self,
@@ -99,12 +120,8 @@
     def at(self, server_id: str) -> Load:
         """Returns the work at a server."""
         own = self._own_by_server.get(server_id, IDLE)
-        others = self._others_by_server.get(server_id, IDLE)
-        return Load(
-            own.running + others.running,
-            own.pending_ms + others.pending_ms,
-            own.tokens + others.tokens,
-        )
+        others = self._others_by_server.get(server_id)
+        return own if others is None else _sum(own, others)
 
     def own_running(self, server_id: str) -> int:
         """Returns how many attempts of this gateway run at a server."""
@@ -118,33 +135,35 @@
         """Returns the work of this gateway, to tell others."""
         return {
             server_id: digests.ServerLoad(
-                load.running, round(load.pending_ms), load.tokens
+                load.running,
+                round(load.pending_ms),
+                round(load.work_ms),
+                load.tokens,
             )
             for server_id, load in self._own_by_server.items()
             if load.running
         }
 
-    def _add(
-        self, server_id: str, running: int, pending_ms: float, tokens: int
-    ) -> None:
-        load = self._own_by_server.get(server_id, IDLE)
-        if load.running + running <= 0:
+    def _add(self, server_id: str, change: Load) -> None:
+        load = _sum(self._own_by_server.get(server_id, IDLE), change)
+        if load.running <= 0:
             self._own_by_server.pop(server_id, None)
-            return
-        self._own_by_server[server_id] = Load(
-            load.running + running,
-            max(0.0, load.pending_ms + pending_ms),
-            load.tokens + tokens,
-        )
+        else:
+            self._own_by_server[server_id] = load
 
     def _sum_others(self) -> None:
         sums: dict[str, Load] = {}
         for _, loads_by_server in self._others_by_sender.values():
             for server_id, load in loads_by_server.items():
                 known = sums.get(server_id, IDLE)
-                sums[server_id] = Load(
-                    known.running + load.running,
-                    known.pending_ms + load.pending_ms,
-                    known.tokens + load.tokens,
-                )
+                sums[server_id] = _sum(known, Load(*load))
         self._others_by_server = sums
+
+
+def _sum(left: Load, right: Load) -> Load:
+    return Load(
+        left.running + right.running,
+        max(0.0, left.pending_ms + right.pending_ms),
+        max(0.0, left.work_ms + right.work_ms),
+        left.tokens + right.tokens,
+    )
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/pace.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/pace.py
@@ -8,6 +8,10 @@
 FIRST_MS_PER_TOKEN = 0.06
 FIRST_BASE_MS = 20.0
 FIRST_PLAIN_MS = 40.0
+FIRST_STREAM_MS = 1_000.0
+#: Requests run together at a server; one more takes this part of the time
+#: that it would take alone.
+SHARED_PART = 0.35
 #: Weight of a new sample.
 SAMPLE_WEIGHT = 0.1
 SLOWNESS_WEIGHT = 0.25
@@ -27,10 +31,12 @@
     Args:
       prompt_ms: To read the part of the prompt that is not cached.
       first_ms: From sending to the first byte, at an idle server.
+      work_ms: What the attempt adds to the time of a busy server.
     """
 
     prompt_ms: float
     first_ms: float
+    work_ms: float
 
 
 class _Mean:
@@ -57,6 +63,7 @@
     def __init__(self) -> None:
         self._ms_per_token_by_model: dict[str, _Mean] = {}
         self._base_ms_by_model: dict[str, _Mean] = {}
+        self._stream_ms_by_model: dict[str, _Mean] = {}
         self._plain_ms_by_service: dict[str, _Mean] = {}
         self._slowness_by_server: dict[str, _Slowness] = {}
 
@@ -71,12 +78,14 @@
         prompt_ms = unread_tokens * _value(
             self._ms_per_token_by_model, model, FIRST_MS_PER_TOKEN
         )
-        return Expected(prompt_ms, base_ms + prompt_ms)
+        stream_ms = _value(self._stream_ms_by_model, model, FIRST_STREAM_MS)
+        work_ms = prompt_ms + SHARED_PART * stream_ms
+        return Expected(prompt_ms, base_ms + prompt_ms, work_ms)
 
     def expect_plain(self, service: str) -> Expected:
         """Returns the expected times of a plain request."""
         plain_ms = _value(self._plain_ms_by_service, service, FIRST_PLAIN_MS)
-        return Expected(plain_ms, plain_ms)
+        return Expected(plain_ms, plain_ms, plain_ms)
 
     def slowness(self, server_id: str, now_ms: int) -> float:
         """Returns how many times slower than others a server is."""
@@ -97,6 +106,10 @@
         per_token = max(0.0, first_ms - base_ms) / unread_tokens
         _observe(self._ms_per_token_by_model, model, per_token)
 
+    def observe_stream(self, model: str, stream_ms: float) -> None:
+        """Learns from the time from the first event to the last."""
+        _observe(self._stream_ms_by_model, model, stream_ms)
+
     def observe_plain(self, service: str, total_ms: float) -> None:
         """Learns from the answer to a plain request."""
         _observe(self._plain_ms_by_service, service, total_ms)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
@@ -21,6 +21,8 @@
 
 #: What one running request adds to the others' time, in ms of a score.
 RUNNING_MS = 2.0
+#: What the whole work of a server counts, besides the prompts ahead.
+BACKLOG_WEIGHT = 0.25
 #: Share of a server's slots from which further requests wait.
 FULL_SHARE = 1.0
 #: What a server in another availability zone costs, in ms of a score:
@@ -41,6 +43,8 @@
       server: The backend server.
       prompt_ms: Time to read what is not cached.
       first_ms: Expected time until the answer begins.
+      work_ms: What the attempt adds to the time of the server.
+      backlog_ms: Time that the server needs for all that it has.
       unread_tokens: Tokens of the prompt that are not cached.
       queued: Whether work is ahead.
     """
@@ -48,6 +52,8 @@
     server: documents.BackendServer
     prompt_ms: float
     first_ms: float
+    work_ms: float
+    backlog_ms: float
     unread_tokens: int
     queued: bool
 
@@ -135,6 +141,7 @@
             slowness = self._pace.slowness(server.id, now_ms)
             first_ms = slowness * (load.pending_ms + expected.first_ms)
             score = first_ms + self._extra_ms(server, load)
+            score += BACKLOG_WEIGHT * slowness * load.work_ms
             needed = load.tokens + prompt.tokens + prompt.output_tokens
             if cache_tokens and needed > cache_tokens * MEMORY_SHARE:
                 score += expected.first_ms + load.pending_ms + FAILURE_MS
@@ -147,6 +154,8 @@
                     server,
                     slowness * expected.prompt_ms,
                     first_ms,
+                    slowness * expected.work_ms,
+                    slowness * load.work_ms,
                     unread,
                     load.pending_ms > 0,
                 )
@@ -171,7 +180,15 @@
             if best is None or score < best_score:
                 best_score = score
                 queued = load.running >= server.slots
-                best = Placed(server, 0.0, first_ms, 0, queued)
+                best = Placed(
+                    server,
+                    0.0,
+                    first_ms,
+                    expected.work_ms,
+                    load.work_ms / max(1, server.slots),
+                    0,
+                    queued,
+                )
         return best
 
     def _extra_ms(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/refusal.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/refusal.py
@@ -5,9 +5,14 @@
 that it takes no place of work that would be in time.
 """
 
-#: Share of the time left that may pass until the answer begins; the rest
-#: is for the answer itself and for errors of the estimate.
-HOPEFUL_SHARE = 0.8
+from typing import NamedTuple
+
+from ragwortgw_gateway import placement
+
+#: Share of the objective that may pass until the answer begins, by rank.
+ON_TIME_SHARES = (0.95, 0.8, 0.6)
+#: Share of the time left that a server may need for all that it has.
+FINISH_SHARE = 0.6
 #: When a caller may come back where no server is there to serve it.
 NO_SERVER_WAIT_MS = 700.0
 #: When a caller may come back where all servers turned it away.
@@ -19,14 +24,43 @@
 MAX_SHARE_OF_LEFT = 0.33
 
 
-def hopeless(expected_ms: float, left_ms: int) -> bool:
-    """Tells whether an answer would come too late.
+class Asked(NamedTuple):
+    """What a request asks for.
 
     Args:
-      expected_ms: Expected time until it begins.
-      left_ms: Time until the caller's deadline.
+      rank: Its rank among the requests of its service, 0 first.
+      objective_ms: Time within which its answer has to begin.
+      left_ms: Time until its deadline.
+      returned: Whether it was refused before and came back as told.
+    """
+
+    rank: int
+    objective_ms: int
+    left_ms: int
+    returned: bool
+
+
+def excess_ms(asked: Asked, placed: placement.Placed) -> float:
+    """Returns by how much the best server is too busy for a request.
+
+    The less urgent a request, the sooner it is refused, so that there is
+    room for the urgent ones; one that came back as it was told goes before
+    others of its rank.
+
+    Args:
+      asked: The request.
+      placed: The best server for it.
+    Returns: Time until it would have room, 0 or less if it has.
     """
-    return expected_ms > left_ms * HOPEFUL_SHARE
+    share = ON_TIME_SHARES[min(asked.rank, len(ON_TIME_SHARES) - 1)]
+    if asked.returned:
+        share = ON_TIME_SHARES[0]
+    latest_ms = min(asked.objective_ms, asked.left_ms) * share
+    finish_ms = placed.backlog_ms + placed.work_ms
+    return max(
+        placed.first_ms - latest_ms,
+        finish_ms - asked.left_ms * FINISH_SHARE * share,
+    )
 
 
 def retry_after_ms(wait_ms: float, left_ms: int, seed: int) -> int:
