--- /dev/null
+++ b/packages/ragwortgw-gateway/tests/gateways.py
@@ -0,0 +1,281 @@
+"""Helpers of the tests: a gateway with a small configuration."""
+
+import msgspec
+
+from ragwortgw_core import effects as core_effects
+from ragwortgw_core import events as core_events
+from ragwortgw_core import platform
+from ragwortgw_gateway import digests
+from ragwortgw_gateway import documents
+from ragwortgw_gateway import effects
+from ragwortgw_gateway import events
+from ragwortgw_gateway import gateway
+from ragwortgw_gateway import requests
+
+START_MS = 1_000_000
+LIMITS = documents.CallerLimits(16_384, 1_000_000, 3_000, 15_000)
+KEY = 'festival-key'
+
+
+class Formats:
+    """A store whose values are our own documents as JSON."""
+
+    operator_prefix = 'orders/'
+    server_prefix = 'servers/'
+    own_prefix = 'gateways/'
+    configuration_key = 'orders/configuration'
+
+    def read_configuration(self, found):
+        return _read(found, documents.Configuration)
+
+    def read_server(self, found):
+        return _read(found, documents.BackendServer)
+
+    def read_order(self, found):
+        return _read(found, documents.RolloutOrder)
+
+    def rollout_status_key(self, service):
+        return f'status/{service}'
+
+    def write_rollout_status(self, order, phase):
+        return phase.encode()
+
+
+def _read(found, kind):
+    try:
+        return msgspec.json.decode(found.value, type=kind)
+    except msgspec.MsgspecError:
+        return None
+
+
+def route(route_id, kind='idempotent', **changes):
+    """Makes a route of one host."""
+    base = documents.Route(
+        id=route_id,
+        host='print.example',
+        prefix=f'/{route_id}/',
+        kind=kind,
+        resumable=kind == 'streaming',
+        timeout_ms=12_000,
+        objective_ms=4_000,
+        pause_ms=2_500,
+        priority=1,
+        targets=(documents.Target('proofs', 1),),
+        max_attempts=3,
+        public=False,
+        tiers=('small', 'large') if kind == 'streaming' else (),
+    )
+    return base._replace(**changes)
+
+
+ROUTES = (
+    route('draft', 'streaming'),
+    route('status', max_attempts=2),
+    route('order', 'mutating', max_attempts=1),
+)
+
+
+def configuration(version=1, routes=ROUTES, keys=(KEY,)):
+    """Makes a configuration of one service and one organisation."""
+    return documents.Configuration(
+        version,
+        routes,
+        {
+            'proofs': documents.Service(
+                'proofs', 100, 500_000, {'small': 0.01, 'large': 0.1}
+            )
+        },
+        (documents.Organisation('festival', keys, None),),
+        LIMITS,
+    )
+
+
+def server(server_id, **changes):
+    """Makes a backend server."""
+    base = documents.BackendServer(
+        server_id, 1, 'proofs', '127.0.0.1:1', 'zone-a', 'v1', 16, False
+    )
+    return base._replace(**changes)
+
+
+def found(key, value, revision):
+    """Makes a value of the store."""
+    return platform.Found(key, msgspec.json.encode(value), revision)
+
+
+PROMPT = requests.Prompt(
+    3_000,
+    100,
+    (requests.PromptPart('shared', 2_000), requests.PromptPart('own', 1_000)),
+)
+
+
+def request(request_id, route_id='status', now_ms=START_MS, **changes):
+    """Makes a request to a route."""
+    streaming = route_id == 'draft'
+    base = requests.Request(
+        id=request_id,
+        method='POST',
+        target=f'/{route_id}/{request_id}',
+        host='print.example',
+        path=f'/{route_id}/{request_id}',
+        key=KEY,
+        headers=(),
+        body=b'',
+        model=requests.ANY_MODEL if streaming else '',
+        prompt=PROMPT if streaming else None,
+        session='',
+        resumed_after=0,
+        received_ms=now_ms,
+        deadline_ms=now_ms + 10_000,
+        fingerprint=hash(request_id) & 0xFFFF,
+    )
+    return base._replace(**changes)
+
+
+def head(status=200, **changes):
+    """Makes the head of an answer."""
+    base = requests.AnswerHead(
+        status, (), '', False, False, None, None, status == 200
+    )
+    return base._replace(**changes)
+
+
+class Driver:
+    """A gateway whose clock the test moves.
+
+    Attributes:
+      state: The gateway.
+      now_ms: The time.
+      outputs: Effects of the last event.
+    """
+
+    def __init__(self, host_id='edge-1', options=gateway.Options()):
+        self.now_ms = START_MS
+        self.state = gateway.new_gateway(
+            host_id,
+            f'{host_id}-x',
+            'zone-a',
+            '127.0.0.1:9',
+            Formats(),
+            options,
+        )
+        self.revision = 0
+        self.outputs = []
+        self.calls = []
+
+    def reduce(self, event):
+        """Applies an event and keeps its effects."""
+        stamp = core_events.Stamp(self.now_ms, 0)
+        _, self.outputs = gateway.REDUCER.reduce(self.state, stamp, event)
+        self.calls += self.of(core_effects.CallPlatform)
+        return self.outputs
+
+    def of(self, kind):
+        """Returns the effects of one type."""
+        return [each for each in self.outputs if isinstance(each, kind)]
+
+    def records(self, kind):
+        """Returns the fields of the log lines of one kind."""
+        return [
+            each.fields
+            for each in self.of(core_effects.Record)
+            if each.kind == kind
+        ]
+
+    def tick(self, passed_ms=0):
+        """Lets time pass."""
+        self.now_ms += passed_ms
+        return self.reduce(core_events.Tick())
+
+    def answer(self, kind, result):
+        """Answers the last call of one type to the store."""
+        call = [each for each in self.calls if isinstance(each.call, kind)][-1]
+        self.calls.remove(call)
+        return self.reduce(core_events.PlatformAnswered(call.op_id, result))
+
+    def waiting(self, kind):
+        """Tells whether a call of one type waits for its answer."""
+        self.calls = [
+            each for each in self.calls if each.deadline_ms > self.now_ms
+        ]
+        return any(isinstance(each.call, kind) for each in self.calls)
+
+    def change(self, *changes):
+        """Lets the watch return with some changes."""
+        while not self.waiting(platform.WatchPrefix):
+            if self.waiting(platform.List):
+                held = self.state.values
+                listed = platform.Listed('', held.found, held.revision)
+                self.answer(platform.List, listed)
+            else:
+                self.tick(50)
+        return self.answer(
+            platform.WatchPrefix,
+            platform.Changes('', changes, changes[-1].revision),
+        )
+
+    def write(self, key, value):
+        """Writes a value to the store; the watch tells of it."""
+        self.revision += 1
+        return self.change(found(key, value, self.revision))
+
+    def delete(self, key):
+        """Deletes a value; the watch tells of it."""
+        self.revision += 1
+        return self.change(platform.Absent(key, self.revision))
+
+    def start(self, servers=('s1', 's2'), **changes):
+        """Gives it a configuration and servers."""
+        self.tick()
+        self.revision = 1
+        values = [
+            found('orders/configuration', configuration(**changes), 1),
+            *(found(f'servers/{each}', server(each), 1) for each in servers),
+        ]
+        self.answer(
+            platform.List, platform.Listed('', tuple(values), self.revision)
+        )
+        return self
+
+    def arrive(self, request_id, route_id='status', **changes):
+        """Lets a request arrive; returns its dispatch, if it is sent."""
+        made = request(request_id, route_id, self.now_ms, **changes)
+        self.reduce(events.RequestArrived(made))
+        return self.sent()
+
+    def sent(self):
+        """Returns the dispatch of the last event, None if there is none."""
+        sent = self.of(effects.Send)
+        return sent[0].dispatch if sent else None
+
+    def refused(self):
+        """Returns the failure by which a request was refused."""
+        refused = self.of(effects.Refuse)
+        return refused[0].failure if refused else None
+
+    def broke(self, dispatch, reason='reset', ran='unknown', last_event=0):
+        """Lets an attempt break."""
+        return self.reduce(
+            events.AttemptBroke(dispatch.attempt_id, reason, ran, last_event)
+        )
+
+    def ended(self, dispatch, status=200):
+        """Lets an attempt end with a whole answer."""
+        answer = requests.Answer(status, (), b'whole')
+        return self.reduce(events.AttemptEnded(dispatch.attempt_id, answer, 0))
+
+    def answered(self, dispatch, **changes):
+        """Lets the head of an answer arrive."""
+        return self.reduce(
+            events.AttemptAnswered(dispatch.attempt_id, head(**changes))
+        )
+
+    def hear(self, other):
+        """Takes the digest of another gateway."""
+        digest = gateway.new_digest(other.state, other.now_ms)
+        other.state.next_digest += 1
+        digest = digest._replace(sequence=other.state.next_digest)
+        # The way over the wire is part of what is tested.
+        decoded = digests.decode(digests.encode(digest))
+        return self.reduce(events.DigestReceived(decoded))
--- /dev/null
+++ b/packages/ragwortgw-gateway/tests/test_books.py
@@ -0,0 +1,183 @@
+"""Tests of what is remembered of backend servers and requests."""
+
+import unittest
+
+from ragwortgw_gateway import crashes
+from ragwortgw_gateway import digests
+from ragwortgw_gateway import loads
+from ragwortgw_gateway import pace
+from ragwortgw_gateway import prefixes
+from ragwortgw_gateway import requests
+from ragwortgw_gateway import returns
+from ragwortgw_gateway import session_versions
+
+
+class LoadTest(unittest.TestCase):
+    def setUp(self):
+        self.book = loads.LoadBook()
+
+    def test_life_of_an_attempt(self):
+        self.book.begin('a', 's1', 100.0, 300.0, 50)
+        self.assertEqual(loads.Load(1, 100.0, 300.0, 50), self.book.at('s1'))
+        self.book.answered('a')
+        self.book.answered('a')
+        self.assertEqual(loads.Load(1, 0.0, 200.0, 50), self.book.at('s1'))
+        self.book.end('a')
+        self.book.end('a')
+        self.assertEqual(loads.IDLE, self.book.at('s1'))
+
+    def test_others_count_until_they_fall_silent(self):
+        self.book.begin('a', 's1', 100.0, 300.0, 50)
+        self.book.heard(
+            'edge-2', {'s1': digests.ServerLoad(2, 5, 6, 7)}, 1_000
+        )
+        self.assertEqual(3, self.book.at('s1').running)
+        self.assertEqual(105.0, self.book.at('s1').pending_ms)
+        self.book.heard('edge-2', {}, 1_100)
+        self.assertEqual(1, self.book.at('s1').running)
+        self.book.heard(
+            'edge-2', {'s1': digests.ServerLoad(2, 5, 6, 7)}, 1_200
+        )
+        self.book.expire(1_201 + loads.DIGEST_LIFETIME_MS)
+        self.assertEqual(1, self.book.at('s1').running)
+
+    def test_own_leaves_idle_servers_out(self):
+        self.book.begin('a', 's1', 100.4, 300.0, 50)
+        self.book.begin('b', 's2', 1.0, 3.0, 5)
+        self.book.end('b')
+        self.assertEqual(
+            {'s1': digests.ServerLoad(1, 100, 300, 50)}, self.book.own()
+        )
+
+
+class PrefixTest(unittest.TestCase):
+    def setUp(self):
+        self.book = prefixes.PrefixBook()
+        self.parts = [
+            requests.PromptPart('a', 10),
+            requests.PromptPart('b', 20),
+            requests.PromptPart('c', 30),
+        ]
+
+    def cached(self, parts, model='small'):
+        return self.book.cached_tokens('s1', model, parts)
+
+    def test_counts_up_to_the_first_part_that_is_missing(self):
+        self.book.read('s1', 'small', self.parts, 0)
+        other = requests.PromptPart('x', 40)
+        self.assertEqual(60, self.cached(self.parts))
+        self.assertEqual(10, self.cached([self.parts[0], other]))
+        self.assertEqual(0, self.cached([other, *self.parts]))
+
+    def test_each_model_has_a_cache_of_its_own(self):
+        self.book.read('s1', 'small', self.parts, 0)
+        self.assertEqual(0, self.cached(self.parts, 'large'))
+
+    def test_oldest_yields_and_the_first_part_last(self):
+        self.book.read('s1', 'small', self.parts, 70)
+        self.book.read('s1', 'small', [requests.PromptPart('d', 35)], 70)
+        self.assertEqual(30, self.cached(self.parts))
+        self.book.read('s1', 'small', [requests.PromptPart('e', 20)], 70)
+        self.assertEqual(10, self.cached(self.parts))
+
+    def test_forget(self):
+        self.book.read('s1', 'small', self.parts, 0)
+        self.book.forget('s1')
+        self.assertEqual(0, self.cached(self.parts))
+
+    def test_homes_are_spread_and_stay_when_another_server_leaves(self):
+        servers = [f's{n}' for n in range(6)]
+
+        def home(key, among):
+            return min(among, key=lambda s: prefixes.home_rank(key, s))
+
+        keys = [f'k{n}' for n in range(600)]
+        homes = {key: home(key, servers) for key in keys}
+        counts = [list(homes.values()).count(each) for each in servers]
+        self.assertGreater(min(counts), 60)
+        left = servers[1:]
+        for key in keys:
+            if homes[key] != 's0':
+                self.assertEqual(homes[key], home(key, left))
+
+
+class PaceTest(unittest.TestCase):
+    def setUp(self):
+        self.book = pace.PaceBook()
+
+    def test_learns_the_time_per_token_of_each_model(self):
+        for _ in range(20):
+            self.book.observe_model('small', 100, 20.0)
+            self.book.observe_model('small', 10_000, 120.0)
+            self.book.observe_model('large', 10_000, 620.0)
+        small = self.book.expect_model('small', 5_000)
+        large = self.book.expect_model('large', 5_000)
+        self.assertAlmostEqual(50.0, small.prompt_ms, delta=5.0)
+        self.assertAlmostEqual(300.0, large.prompt_ms, delta=15.0)
+        self.assertGreater(large.work_ms, large.prompt_ms)
+
+    def test_slow_server_is_known_and_forgiven(self):
+        for _ in range(20):
+            self.book.observe_server('s1', 100.0, 500.0, 1_000)
+        self.assertAlmostEqual(5.0, self.book.slowness('s1', 1_000), delta=0.5)
+        later_ms = 1_000 + 5 * pace.SLOWNESS_HALF_LIFE_MS
+        self.assertLess(self.book.slowness('s1', later_ms), 1.1)
+        self.assertEqual(1.0, self.book.slowness('s2', 1_000))
+
+    def test_one_sample_does_not_condemn(self):
+        self.book.observe_server('s1', 1.0, 60_000.0, 1_000)
+        self.assertLess(self.book.slowness('s1', 1_000), 2.5)
+
+
+class CrashTest(unittest.TestCase):
+    def setUp(self):
+        self.book = crashes.CrashBook()
+
+    def test_second_server_makes_guilty(self):
+        self.book.broke(7, 's1/1', 1_000)
+        self.book.broke(7, 's1/1', 1_100)
+        self.assertFalse(self.book.guilty(7))
+        self.book.broke(7, 's2/1', 1_200)
+        self.assertTrue(self.book.guilty(7))
+        self.assertFalse(self.book.guilty(8))
+
+    def test_crashes_that_others_saw_count(self):
+        self.book.broke(7, 's1/1', 1_000)
+        self.book.heard([digests.Crash(7, 's2/1', 100)], 1_200)
+        self.assertTrue(self.book.guilty(7))
+        self.assertEqual(1, len(self.book.own(1_200)))
+
+    def test_same_crash_told_by_two_counts_once(self):
+        self.book.broke(7, 's1/1', 1_000)
+        self.book.heard([digests.Crash(7, 's1/1', 100)], 1_200)
+        self.assertFalse(self.book.guilty(7))
+
+    def test_is_forgotten(self):
+        self.book.broke(7, 's1/1', 1_000)
+        self.book.broke(7, 's2/1', 1_000)
+        self.book.expire(1_001 + crashes.CRASH_LIFETIME_MS)
+        self.assertFalse(self.book.guilty(7))
+
+
+class ReturnTest(unittest.TestCase):
+    def test_refused_one_is_known_until_its_deadline(self):
+        book = returns.ReturnBook()
+        book.refused(7, 1_000, 5_000)
+        self.assertFalse(book.returned(7, 1_000))
+        self.assertTrue(book.returned(7, 2_000))
+        self.assertFalse(book.returned(7, 5_000))
+        self.assertFalse(book.returned(8, 2_000))
+
+
+class SessionTest(unittest.TestCase):
+    def test_session_stays_for_its_lifetime(self):
+        book = session_versions.SessionVersions(5_000)
+        book.served('x', 'v1', 1_000)
+        self.assertEqual('v1', book.version('x', 6_000))
+        self.assertEqual('', book.version('x', 6_001))
+        self.assertEqual('', book.version('y', 1_000))
+
+    def test_request_without_session_is_not_remembered(self):
+        book = session_versions.SessionVersions(5_000)
+        book.served('', 'v1', 1_000)
+        self.assertEqual('', book.version('', 1_000))
--- /dev/null
+++ b/packages/ragwortgw-gateway/tests/test_decisions.py
@@ -0,0 +1,257 @@
+"""Tests of tiers, budgets, suspicion, refusal and version evidence."""
+
+import random
+import unittest
+
+from ragwortgw_gateway import digests
+from ragwortgw_gateway import placement
+from ragwortgw_gateway import refusal
+from ragwortgw_gateway import retry_budget
+from ragwortgw_gateway import suspicion
+from ragwortgw_gateway import tiers
+from ragwortgw_gateway import version_evidence
+from tests import gateways
+
+TIERS = ('small', 'middle', 'large')
+COSTS = {'small': 0.0075, 'middle': 0.056, 'large': 0.11}
+
+
+class TierTest(unittest.TestCase):
+    def setUp(self):
+        self.book = tiers.TierBook()
+
+    def first(self, may_repeat=True):
+        return self.book.first(TIERS, COSTS, may_repeat)
+
+    def test_smallest_first_while_it_pays(self):
+        self.assertEqual(tiers.Choice('small', False), self.first())
+
+    def test_largest_if_nothing_may_be_dropped(self):
+        self.assertEqual(tiers.Choice('large', True), self.first(False))
+
+    def test_model_that_never_suffices_is_not_asked(self):
+        for _ in range(100):
+            self.book.accepts('small', 3)
+            self.book.accepts('middle', 3)
+        self.assertEqual(tiers.Choice('large', True), self.first())
+
+    def test_middle_if_only_that_suffices(self):
+        for _ in range(100):
+            self.book.accepts('small', 3)
+            self.book.accepts('middle', 99)
+        self.assertEqual('middle', self.first().model)
+
+    def test_answer_without_opinion_is_taken(self):
+        self.assertTrue(self.book.accepts('small', None))
+
+    def test_single_model(self):
+        choice = self.book.first(('only',), {}, True)
+        self.assertEqual(tiers.Choice('only', True), choice)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_never_beyond_the_rule_in_any_window(self):
+        """Several gateways under storms of failures; sliding windows."""
+        ratio, slack, window_ms, gateways_count = 0.9, 54, 10_000, 4
+        rng = random.Random(5)
+        budgets = [
+            retry_budget.RetryBudget(ratio, slack, window_ms)
+            for _ in range(gateways_count)
+        ]
+        requests, repeats = [], []
+        for now_ms in range(0, 60_000, 10):
+            busy = (now_ms // 7_000) % 2
+            for budget in budgets:
+                if rng.random() < (0.05 if busy else 0.01):
+                    budget.count_request('s', now_ms)
+                    requests.append(now_ms)
+                while rng.random() < 0.7:
+                    if budget.spend('s', gateways_count, now_ms):
+                        repeats.append(now_ms)
+        for end_ms in range(window_ms, 60_000, 250):
+            begin_ms = end_ms - window_ms
+
+            def count(times, shift_ms=0):
+                return sum(
+                    begin_ms - shift_ms < each <= end_ms - shift_ms
+                    for each in times
+                )
+
+            most = max(
+                count(requests),
+                count(requests, window_ms // 2),
+                count(requests, window_ms),
+            )
+            self.assertLessEqual(count(repeats), ratio * most + slack)
+        self.assertGreater(len(repeats), 0.5 * len(requests))
+
+    def test_services_are_apart(self):
+        budget = retry_budget.RetryBudget(0.9, 10, 10_000)
+        while budget.spend('a', 1, 0):
+            pass
+        self.assertTrue(budget.spend('b', 1, 0))
+
+
+class SuspicionTest(unittest.TestCase):
+    def setUp(self):
+        self.book = suspicion.Suspicion()
+
+    def test_unreachable_is_suspended_ever_longer(self):
+        now_ms, pauses = 1_000, []
+        for _ in range(5):
+            verdict = self.book.troubled('s', 'x', 'refused', now_ms)
+            pauses.append(verdict.until_ms - now_ms)
+            self.assertTrue(self.book.suspended('s', verdict.until_ms - 1))
+            now_ms = verdict.until_ms
+            self.assertFalse(self.book.suspended('s', now_ms))
+        self.assertEqual(sorted(pauses), pauses)
+        self.assertEqual(suspicion.MAX_PAUSE_MS, pauses[-1])
+
+    def test_success_forgives(self):
+        self.book.troubled('s', 'x', 'refused', 1_000)
+        self.book.succeeded('s', 'x')
+        verdict = self.book.troubled('s', 'x', 'refused', 5_000)
+        self.assertEqual(5_000 + suspicion.FIRST_PAUSE_MS, verdict.until_ms)
+
+    def test_failing_part_of_the_work_suspends(self):
+        rng = random.Random(3)
+        until_ms = 0
+        for n in range(200):
+            if rng.random() < 0.5:
+                verdict = self.book.troubled('bad', 'x', 'failed', n)
+                until_ms = until_ms or verdict.until_ms
+            else:
+                self.book.succeeded('bad', 'x')
+            for _ in range(5):
+                self.book.succeeded('good', 'x')
+        self.assertGreater(until_ms, 0)
+        self.assertFalse(self.book.suspended('good', 1))
+
+    def test_service_that_fails_a_little_everywhere_suspends_nobody(self):
+        rng = random.Random(4)
+        for n in range(2_000):
+            server = f's{n % 4}'
+            if rng.random() < 0.14:
+                self.book.troubled(server, 'x', 'failed', n)
+            else:
+                self.book.succeeded(server, 'x')
+        suspended = [
+            n for n in range(4) if self.book.suspended(f's{n}', 2_000)
+        ]
+        self.assertEqual([], suspended)
+
+    def test_connections_of_one_crash_are_one_event(self):
+        for n in range(10):
+            verdict = self.book.troubled('s', 'x', 'reset', 1_000 + n)
+            if self.book.suspended('s', 1_000 + n):
+                break
+        self.assertGreaterEqual(n, suspicion.MIN_OUTCOMES - 1)
+        self.assertIsNotNone(verdict)
+
+    def test_full_server_is_not_suspended(self):
+        verdict = self.book.troubled('s', 'x', 'full', 1_000)
+        self.assertEqual(suspicion.NOTHING, verdict)
+
+
+def placed(first_ms, backlog_ms=0.0, work_ms=100.0):
+    return placement.Placed(
+        gateways.server('s'), 0.0, first_ms, work_ms, backlog_ms, 0, False
+    )
+
+
+class RefusalTest(unittest.TestCase):
+    def excess(self, rank, first_ms, backlog_ms=0.0, returned=False):
+        asked = refusal.Asked(rank, 4_000, 12_000, returned)
+        return refusal.excess_ms(asked, placed(first_ms, backlog_ms))
+
+    def test_in_time_is_admitted(self):
+        for rank in range(4):
+            self.assertLessEqual(self.excess(rank, 100.0), 0)
+
+    def test_less_urgent_is_refused_first(self):
+        self.assertGreater(self.excess(2, 3_000.0), 0)
+        self.assertLessEqual(self.excess(0, 3_000.0), 0)
+        self.assertGreater(self.excess(0, 4_500.0), 0)
+
+    def test_server_that_could_not_finish_is_not_given_more(self):
+        self.assertGreater(self.excess(0, 100.0, backlog_ms=9_000.0), 0)
+
+    def test_returned_one_goes_before_its_rank(self):
+        self.assertLessEqual(self.excess(2, 3_000.0, returned=True), 0)
+
+    def test_retry_after_is_the_wait_but_a_third_of_what_is_left(self):
+        for seed in range(1_024):
+            wait_ms = refusal.retry_after_ms(1_000.0, 12_000, seed)
+            self.assertTrue(700 <= wait_ms <= 1_300, wait_ms)
+            capped_ms = refusal.retry_after_ms(60_000.0, 3_000, seed)
+            self.assertLessEqual(capped_ms, 1_000)
+
+
+class EvidenceTest(unittest.TestCase):
+    def judge(self, **fields):
+        return version_evidence.judge(digests.RolloutEvidence(1, **fields))
+
+    def test_few_failures_do_not_condemn(self):
+        self.assertEqual(
+            'undecided',
+            self.judge(candidate_requests=2, candidate_failures=2),
+        )
+
+    def test_failing_candidate_is_bad(self):
+        self.assertEqual(
+            'bad',
+            self.judge(
+                candidate_requests=8,
+                candidate_failures=4,
+                baseline_requests=100,
+            ),
+        )
+
+    def test_candidate_like_a_failing_baseline_is_good(self):
+        self.assertEqual(
+            'good',
+            self.judge(
+                candidate_requests=20,
+                candidate_failures=4,
+                baseline_requests=200,
+                baseline_failures=30,
+            ),
+        )
+
+    def test_slow_candidate_is_bad(self):
+        self.assertEqual(
+            'bad',
+            self.judge(
+                candidate_requests=10,
+                candidate_timed=10,
+                candidate_slowness=18.0,
+                baseline_timed=50,
+            ),
+        )
+
+    def test_false_alarms_are_rare(self):
+        rng = random.Random(6)
+        alarms = 0
+        for _ in range(300):
+            candidate = sum(rng.random() < 0.1 for _ in range(40))
+            baseline = sum(rng.random() < 0.1 for _ in range(400))
+            alarms += (
+                self.judge(
+                    candidate_requests=40,
+                    candidate_failures=candidate,
+                    baseline_requests=400,
+                    baseline_failures=baseline,
+                )
+                == 'bad'
+            )
+        self.assertLessEqual(alarms, 3)
+
+    def test_pool_takes_one_order_only(self):
+        parts = [
+            digests.RolloutEvidence(1, candidate_requests=2),
+            digests.RolloutEvidence(2, candidate_requests=50),
+            digests.RolloutEvidence(1, candidate_requests=3, elapsed_ms=7),
+        ]
+        pooled = version_evidence.pool(parts, 1)
+        self.assertEqual(5, pooled.candidate_requests)
+        self.assertEqual(7, pooled.elapsed_ms)
--- /dev/null
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -0,0 +1,563 @@
+"""Tests of whole requests through the reducer."""
+
+import unittest
+
+from ragwortgw_core import errors
+from ragwortgw_core import events as core_events
+from ragwortgw_core import platform
+from ragwortgw_gateway import crashes
+from ragwortgw_gateway import dispatching
+from ragwortgw_gateway import documents
+from ragwortgw_gateway import effects
+from ragwortgw_gateway import events
+from ragwortgw_gateway import fleet
+from ragwortgw_gateway import gateway
+from ragwortgw_gateway import requests
+from ragwortgw_gateway import rollouts
+from tests import gateways
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_no_configuration_is_no_404(self):
+        driver = gateways.Driver()
+        driver.arrive('r1')
+        self.assertEqual(503, driver.refused().status)
+        self.assertFalse(driver.state.ready)
+
+    def test_unknown_path(self):
+        driver = gateways.Driver().start()
+        driver.arrive('r1', 'nowhere')
+        self.assertEqual(404, driver.refused().status)
+
+    def test_unknown_and_missing_key(self):
+        driver = gateways.Driver().start()
+        for key in ('wrong', ''):
+            driver.arrive('r1', key=key)
+            self.assertEqual(401, driver.refused().status)
+
+    def test_public_route_needs_no_key(self):
+        routes = (gateways.route('open', public=True),)
+        driver = gateways.Driver().start(routes=routes)
+        self.assertEqual('', driver.arrive('r1', 'open', key='').organisation)
+
+    def test_organisation_comes_from_the_key(self):
+        driver = gateways.Driver().start()
+        self.assertEqual('festival', driver.arrive('r1').organisation)
+
+    def test_deadline_is_the_earlier_of_caller_and_route(self):
+        driver = gateways.Driver().start()
+        dispatch = driver.arrive('r1', deadline_ms=driver.now_ms + 700)
+        self.assertEqual(driver.now_ms + 700, dispatch.deadline_ms)
+        late = driver.arrive('r2', deadline_ms=driver.now_ms + 99_000)
+        self.assertEqual(driver.now_ms + 12_000, late.deadline_ms)
+
+    def test_no_server_is_refused_at_once(self):
+        driver = gateways.Driver().start(servers=())
+        driver.arrive('r1', 'order')
+        self.assertEqual(503, driver.refused().status)
+        self.assertEqual('no', errors.problem(driver.refused())['ran'])
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_newer_is_in_force_at_once(self):
+        driver = gateways.Driver().start()
+        driver.write(
+            'orders/configuration', gateways.configuration(5, keys=('new',))
+        )
+        driver.arrive('r1')
+        self.assertEqual(401, driver.refused().status)
+        self.assertIsNotNone(driver.arrive('r2', key='new'))
+
+    def test_never_backwards(self):
+        driver = gateways.Driver().start(version=5)
+        driver.write(
+            'orders/configuration', gateways.configuration(4, keys=('old',))
+        )
+        self.assertEqual(5, driver.state.configuration.version)
+        self.assertIsNotNone(driver.arrive('r1'))
+
+    def test_unreadable_value_changes_nothing(self):
+        driver = gateways.Driver().start()
+        driver.write('orders/configuration', 'nonsense')
+        driver.write('servers/s9', ['nonsense'])
+        self.assertEqual(1, len(driver.records('value-unreadable')))
+        self.assertIsNotNone(driver.arrive('r1'))
+        self.assertNotIn('s9', driver.state.fleet.servers_by_id)
+
+    def test_server_whose_entry_turns_unreadable_is_not_used(self):
+        driver = gateways.Driver().start(servers=('s1',))
+        driver.write('servers/s1', ['nonsense'])
+        self.assertIsNone(driver.arrive('r1'))
+
+    def test_gateway_that_the_store_turns_away_learns_from_another(self):
+        cut = gateways.Driver('edge-1').start()
+        other = gateways.Driver('edge-2').start()
+        other.write(
+            'orders/configuration', gateways.configuration(5, keys=('new',))
+        )
+        cut.tick()
+        cut.hear(other)
+        cut.tick()
+        cut.tick(gateway.FETCH_PATIENCE_MS)
+        (fetch,) = cut.of(effects.FetchBeliefs)
+        self.assertEqual(other.state.digest_address, fetch.address)
+        beliefs = other.state.values.since(fetch.revision)
+        cut.reduce(events.BeliefsOffered(beliefs))
+        self.assertEqual(5, cut.state.configuration.version)
+        cut.arrive('r1')
+        self.assertEqual(401, cut.refused().status)
+
+    def test_limits_of_callers_follow(self):
+        driver = gateways.Driver().start()
+        driver.write('orders/configuration', gateways.configuration(2))
+        (limit,) = driver.of(effects.LimitCallers)
+        self.assertEqual(gateways.LIMITS, limit.limits)
+
+
+class ServersTest(unittest.TestCase):
+    def test_draining_server_gets_nothing(self):
+        driver = gateways.Driver().start()
+        driver.write('servers/s1', gateways.server('s1', draining=True))
+        for n in range(20):
+            self.assertEqual('s2', driver.arrive(f'r{n}').server_id)
+
+    def test_deleted_server_gets_nothing(self):
+        driver = gateways.Driver().start()
+        driver.delete('servers/s1')
+        for n in range(20):
+            self.assertEqual('s2', driver.arrive(f'r{n}').server_id)
+
+    def lose_store(self, driver):
+        driver.tick(3_000)
+        driver.answer(platform.Grant, platform.Unavailable(False))
+        self.assertFalse(driver.state.link.reachable)
+
+    def test_entries_that_lapsed_in_an_outage_have_time_to_return(self):
+        driver = gateways.Driver().start()
+        self.lose_store(driver)
+        driver.tick(5_000)
+        driver.answer(platform.Grant, platform.Granted('edge-1-x', 0, False))
+        driver.answer(platform.WatchPrefix, platform.Compacted(''))
+        driver.tick()
+        configuration = driver.state.values.get('orders/configuration')
+        driver.answer(platform.List, platform.Listed('', (configuration,), 50))
+        self.assertEqual(2, len(driver.state.fleet.servers_by_id))
+        driver.revision = 50
+        driver.write('servers/s1', gateways.server('s1'))
+        driver.tick(fleet.LAPSE_GRACE_MS + 100)
+        self.assertEqual(['s1'], list(driver.state.fleet.servers_by_id))
+
+    def test_other_server_at_the_address(self):
+        driver = gateways.Driver().start()
+        first = driver.arrive('r1', 'order')
+        driver.reduce(events.AttemptRefused(first.attempt_id, True))
+        second = driver.sent()
+        self.assertNotEqual(first.server_id, second.server_id)
+        self.assertNotIn(first.server_id, driver.state.fleet.servers_by_id)
+
+
+class AtMostOnceTest(unittest.TestCase):
+    def setUp(self):
+        self.driver = gateways.Driver().start(servers=('s1', 's2', 's3'))
+        self.first = self.driver.arrive('r1', 'order')
+
+    def test_may_have_run_is_never_sent_again(self):
+        for reason in ('reset', 'silent', 'garbled'):
+            driver = gateways.Driver().start()
+            driver.broke(driver.arrive('r1', 'order'), reason)
+            self.assertIsNone(driver.sent())
+            self.assertEqual(502, driver.refused().status)
+            self.assertEqual('unknown', driver.refused().ran)
+
+    def test_connection_that_was_refused_is_tried_elsewhere(self):
+        self.driver.broke(self.first, 'refused', 'no')
+        self.assertNotEqual(self.first.server_id, self.driver.sent().server_id)
+
+    def test_refusal_of_the_server_is_tried_elsewhere(self):
+        self.driver.reduce(events.AttemptRefused(self.first.attempt_id, False))
+        self.assertIsNotNone(self.driver.sent())
+
+    def test_refused_everywhere_says_not_run(self):
+        for _ in range(dispatching.MAX_REFUSALS):
+            if self.driver.refused():
+                break
+            dispatch = self.driver.sent() or self.first
+            self.driver.reduce(
+                events.AttemptRefused(dispatch.attempt_id, False)
+            )
+            while not self.driver.sent() and not self.driver.refused():
+                self.driver.tick(50)
+        self.assertEqual(503, self.driver.refused().status)
+        self.assertEqual('no', errors.problem(self.driver.refused())['ran'])
+
+    def test_own_failure_of_the_server_is_passed_on(self):
+        self.driver.ended(self.first, 500)
+        (respond,) = self.driver.of(effects.Respond)
+        self.assertEqual(500, respond.answer.status)
+        self.assertIsNone(self.driver.sent())
+
+    def test_deadline_while_running_is_no_promise(self):
+        self.driver.tick(12_001)
+        self.assertEqual(504, self.driver.refused().status)
+        (cancel,) = self.driver.of(effects.Cancel)
+        self.assertEqual(self.first.attempt_id, cancel.attempt_id)
+
+    def test_slow_answer_is_not_hedged(self):
+        for _ in range(60):
+            self.driver.tick(50)
+            self.assertIsNone(self.driver.sent())
+
+
+class RepeatTest(unittest.TestCase):
+    def test_failed_lookup_is_repeated_once_elsewhere(self):
+        driver = gateways.Driver().start()
+        first = driver.arrive('r1')
+        driver.ended(first, 500)
+        second = driver.sent()
+        self.assertNotEqual(first.server_id, second.server_id)
+        driver.ended(second, 503)
+        (respond,) = driver.of(effects.Respond)
+        self.assertEqual(503, respond.answer.status)
+
+    def test_slow_lookup_is_hedged_and_the_first_answer_wins(self):
+        driver = gateways.Driver().start()
+        first = driver.arrive('r1')
+        driver.tick(50)
+        while not driver.sent():
+            driver.tick(50)
+        second = driver.sent()
+        self.assertLess(driver.now_ms, gateways.START_MS + 1_000)
+        self.assertNotEqual(first.server_id, second.server_id)
+        driver.ended(second)
+        self.assertEqual(1, len(driver.of(effects.Respond)))
+        (cancel,) = driver.of(effects.Cancel)
+        self.assertEqual(first.attempt_id, cancel.attempt_id)
+        self.assertEqual({}, driver.state.requests_by_id)
+
+    def test_timed_out_server_is_not_suspected(self):
+        driver = gateways.Driver().start()
+        for n in range(20):
+            driver.ended(driver.arrive(f'r{n}'), 504)
+            self.assertEqual([], driver.records('server-suspended'))
+
+    def test_caller_that_leaves_stops_the_work(self):
+        driver = gateways.Driver().start()
+        first = driver.arrive('r1')
+        driver.reduce(events.CallerLeft('r1'))
+        (cancel,) = driver.of(effects.Cancel)
+        self.assertEqual(first.attempt_id, cancel.attempt_id)
+        self.assertEqual({}, driver.state.requests_by_attempt)
+        driver.ended(first)
+        self.assertEqual([], driver.outputs)
+
+
+class StreamTest(unittest.TestCase):
+    def setUp(self):
+        self.driver = gateways.Driver().start(servers=('s1', 's2', 's3'))
+        self.first = self.driver.arrive('r1', 'draft')
+
+    def test_small_model_is_asked_first(self):
+        self.assertEqual('small', self.first.model)
+
+    def test_confident_answer_is_delivered(self):
+        self.driver.answered(self.first, confidence=90)
+        (deliver,) = self.driver.of(effects.Deliver)
+        self.assertEqual(self.first.attempt_id, deliver.attempt_id)
+
+    def test_weak_answer_is_dropped_for_the_large_model(self):
+        self.driver.answered(self.first, confidence=10)
+        (cancel,) = self.driver.of(effects.Cancel)
+        self.assertEqual(self.first.attempt_id, cancel.attempt_id)
+        second = self.driver.sent()
+        self.assertEqual('large', second.model)
+        self.driver.answered(second, confidence=0)
+        self.assertEqual(1, len(self.driver.of(effects.Deliver)))
+
+    def test_weak_answer_is_delivered_if_the_large_model_would_be_late(self):
+        for server_id in ('s1', 's2', 's3'):
+            self.driver.state.loads.begin(
+                f'x-{server_id}', server_id, 9_000.0, 9_000.0, 0
+            )
+        self.driver.answered(self.first, confidence=10)
+        self.assertEqual(1, len(self.driver.of(effects.Deliver)))
+        self.assertIsNone(self.driver.sent())
+
+    def test_broken_stream_goes_on_after_the_last_event(self):
+        self.driver.answered(self.first, confidence=90)
+        self.driver.broke(self.first, 'reset', 'unknown', last_event=7)
+        second = self.driver.sent()
+        self.assertEqual(7, second.resume_after)
+        self.assertNotEqual(self.first.server_id, second.server_id)
+        self.driver.answered(second, confidence=0)
+        self.assertEqual(1, len(self.driver.of(effects.Deliver)))
+        self.driver.ended(second)
+        self.assertEqual(1, len(self.driver.of(effects.FinishStream)))
+
+    def test_stream_of_a_caller_that_resumes_keeps_its_own_event(self):
+        dispatch = self.driver.arrive('r2', 'draft', resumed_after=12)
+        self.assertEqual(0, dispatch.resume_after)
+        self.driver.answered(dispatch, confidence=90)
+        self.driver.broke(dispatch, 'reset', 'unknown', last_event=15)
+        self.assertEqual(15, self.driver.sent().resume_after)
+
+    def test_attempts_are_bounded(self):
+        dispatch = self.first
+        for _ in range(3):
+            self.driver.answered(dispatch, confidence=90)
+            self.driver.broke(dispatch, 'reset', 'unknown', last_event=1)
+            dispatch = self.driver.sent()
+        self.assertIsNone(dispatch)
+        self.assertEqual(1, len(self.driver.of(effects.CutStream)))
+
+    def test_stream_that_may_not_be_resumed_is_cut(self):
+        routes = (gateways.route('draft', 'streaming', resumable=False),)
+        driver = gateways.Driver().start(routes=routes)
+        dispatch = driver.arrive('r1', 'draft')
+        self.assertEqual('large', dispatch.model)
+        driver.answered(dispatch, confidence=5)
+        driver.broke(dispatch, 'reset', 'unknown', last_event=3)
+        self.assertIsNone(driver.sent())
+        self.assertEqual(1, len(driver.of(effects.CutStream)))
+
+    def test_stream_past_its_deadline_is_cut(self):
+        self.driver.answered(self.first, confidence=90)
+        self.driver.tick(10_001)
+        self.assertEqual(1, len(self.driver.of(effects.CutStream)))
+
+    def test_silent_server_is_left(self):
+        self.driver.answered(self.first, confidence=90)
+        while not self.driver.of(effects.Abandon):
+            self.driver.tick(50)
+            self.assertLess(self.driver.now_ms, gateways.START_MS + 4_000)
+
+    def test_server_that_is_heard_is_not_silent(self):
+        self.driver.answered(self.first, confidence=90)
+        for _ in range(40):
+            self.driver.reduce(events.ServersHeard((self.first.server_id,)))
+            self.driver.tick(50)
+            self.assertEqual([], self.driver.of(effects.Abandon))
+
+
+class OverloadTest(unittest.TestCase):
+    """Plays a load that the servers can't bear, without a network."""
+
+    def offer(self, driver, count):
+        admitted = {0: 0, 2: 0}
+        for n in range(count):
+            for rank in admitted:
+                sent = driver.arrive(f'r{rank}-{n}', f'rank{rank}')
+                admitted[rank] += sent is not None
+        return admitted
+
+    def test_urgent_requests_get_the_room(self):
+        routes = tuple(
+            gateways.route(f'rank{rank}', 'streaming', priority=rank)
+            for rank in (0, 2)
+        )
+        driver = gateways.Driver().start(routes=routes)
+        prompt = requests.Prompt(20_000, 500, ())
+
+        def arrive(request_id, route_id):
+            made = gateways.request(request_id, 'draft', driver.now_ms)
+            made = made._replace(
+                path=f'/{route_id}/x', prompt=prompt, session=request_id
+            )
+            driver.reduce(events.RequestArrived(made))
+            return driver.sent()
+
+        driver.arrive = arrive
+        admitted = self.offer(driver, 30)
+        self.assertGreater(admitted[0], admitted[2])
+        self.assertGreater(admitted[2], 0)
+        self.assertLess(admitted[0] + admitted[2], 30)
+
+    def test_refusal_says_when_to_come_back_and_is_immediate(self):
+        driver = gateways.Driver().start(servers=('s1',))
+        for n in range(100):
+            driver.arrive(f'r{n}', 'draft')
+            if driver.refused():
+                break
+        problem = errors.problem(driver.refused())
+        self.assertEqual(503, problem['status'])
+        self.assertGreater(problem['retry_after_ms'], 0)
+        self.assertLess(problem['retry_after_ms'], 10_000 / 3)
+        self.assertNotIn(f'r{n}', driver.state.requests_by_id)
+
+
+class CrashTest(unittest.TestCase):
+    def test_request_that_crashes_servers_is_contained_everywhere(self):
+        one = gateways.Driver('edge-1').start(servers=('s1', 's2', 's3'))
+        two = gateways.Driver('edge-2').start(servers=('s1', 's2', 's3'))
+        runs = 0
+        for driver in (one, two, one, two):
+            dispatch = driver.arrive(f'r{runs}', 'draft', fingerprint=99)
+            refused = driver.refused()
+            while dispatch is not None:
+                runs += 1
+                driver.broke(dispatch, 'reset', 'unknown')
+                dispatch = driver.sent()
+                refused = driver.refused()
+            one.hear(two)
+            two.hear(one)
+        self.assertEqual(crashes.MAX_CRASHES, runs)
+        self.assertIsInstance(refused, errors.RequestSuspected)
+
+
+class RolloutTest(unittest.TestCase):
+    def setUp(self):
+        self.driver = gateways.Driver().start(servers=('s1', 's2'))
+        self.driver.tick(10_000)
+        self.driver.write('servers/n1', gateways.server('n1', version='v2'))
+
+    def order(self):
+        self.driver.revision += 1
+        order = documents.RolloutOrder('proofs', 'v2', 24_000, 0)
+        order = order._replace(revision=self.driver.revision)
+        self.driver.change(
+            gateways.found('orders/rollout', order, self.driver.revision)
+        )
+
+    def shares(self, count=400, prefix='x'):
+        sent = []
+        for n in range(count):
+            dispatch = self.driver.arrive(f'{prefix}{n}', 'status')
+            sent.append(dispatch.server_id == 'n1')
+            self.driver.ended(dispatch)
+        return sum(sent) / count
+
+    def step(self, phase):
+        step = self.driver.state.rollouts.step_key('proofs')
+        track = self.driver.state.rollouts.tracks_by_service['proofs']
+        self.driver.write(
+            step,
+            rollouts.Step(track.order.revision, 'v2', phase, 12_000),
+        )
+
+    def test_candidate_gets_a_small_share(self):
+        self.order()
+        self.assertLess(self.shares(), 0.1)
+        self.assertGreater(self.shares(prefix='y'), 0.02)
+
+    def test_session_stays_on_its_version_in_the_first_half(self):
+        sessions = [f'session-{n}' for n in range(200)]
+        for session in sessions:
+            self.driver.ended(
+                self.driver.arrive(f'a-{session}', session=session)
+            )
+        self.order()
+        for session in sessions:
+            dispatch = self.driver.arrive(f'b-{session}', session=session)
+            self.assertNotEqual('n1', dispatch.server_id)
+            self.driver.ended(dispatch)
+
+    def test_session_on_the_candidate_stays_there(self):
+        self.order()
+        self.driver.state.sessions.served('s', 'v2', self.driver.now_ms)
+        self.assertEqual('n1', self.driver.arrive('r1', session='s').server_id)
+
+    def test_phases_follow_the_store(self):
+        self.order()
+        self.driver.tick(12_000)
+        self.step('half')
+        self.assertAlmostEqual(0.5, self.shares(), delta=0.1)
+        self.step('all')
+        self.assertEqual(1.0, self.shares(prefix='z'))
+        self.step('reverted')
+        self.assertEqual(0.0, self.shares(prefix='w'))
+
+    def test_bad_candidate_is_left_at_once_also_without_the_store(self):
+        self.order()
+        seen = 0
+        for n in range(400):
+            dispatch = self.driver.arrive(f'r{n}')
+            candidate = dispatch.server_id == 'n1'
+            seen += candidate
+            self.driver.ended(dispatch, 500 if candidate else 200)
+            if self.driver.sent():
+                self.driver.ended(self.driver.sent())
+            if n % 5 == 0:
+                self.driver.tick(50)
+        self.assertLessEqual(seen, 8)
+        track = self.driver.state.rollouts.tracks_by_service['proofs']
+        self.assertEqual('reverted', track.phase)
+
+    def test_bad_evidence_of_another_gateway_counts(self):
+        self.order()
+        other = gateways.Driver('edge-2').start()
+        other.tick(10_000)
+        track = self.driver.state.rollouts.tracks_by_service['proofs']
+        other.state.rollouts.ordered(track.order, other.now_ms, True)
+        bad = other.state.rollouts.tracks_by_service['proofs'].evidence
+        bad.add(candidate_requests=6, candidate_failures=6)
+        self.driver.hear(other)
+        self.driver.tick(50)
+        self.assertEqual('reverted', track.phase)
+        self.assertEqual(0.0, self.shares())
+
+    def test_good_candidate_is_taken_step_by_step(self):
+        self.order()
+        phases = []
+        track = self.driver.state.rollouts.tracks_by_service['proofs']
+        for n in range(600):
+            dispatch = self.driver.arrive(f'r{n}')
+            self.driver.tick(40)
+            self.driver.ended(dispatch)
+            puts = [
+                call
+                for call in self.driver.calls
+                if isinstance(call.call, platform.Put)
+                and 'rollouts' in call.call.key
+            ]
+            for call in puts:
+                self.driver.calls.remove(call)
+                self.driver.revision += 1
+                self.driver.reduce(
+                    core_events.PlatformAnswered(
+                        call.op_id,
+                        platform.Written(call.call.key, self.driver.revision),
+                    )
+                )
+                phases.append(track.phase)
+            if track.final:
+                break
+        self.assertEqual(['half', 'all', 'complete'], phases)
+        elapsed_ms = track.elapsed_ms(self.driver.now_ms)
+        self.assertLess(elapsed_ms, track.order.duration_ms)
+
+
+class StopTest(unittest.TestCase):
+    def setUp(self):
+        self.driver = gateways.Driver().start()
+
+    def stop(self):
+        self.driver.reduce(core_events.StopRequested())
+
+    def test_not_ready_at_once_but_serving_on(self):
+        self.assertTrue(self.driver.state.ready)
+        self.stop()
+        self.assertFalse(self.driver.state.ready)
+        self.assertIsNotNone(self.driver.arrive('r1'))
+
+    def test_refuses_after_a_while_and_says_not_run(self):
+        self.stop()
+        self.driver.tick(gateway.STOP_ACCEPT_MS + 50)
+        self.driver.arrive('r1', 'order')
+        self.assertEqual(503, self.driver.refused().status)
+
+    def test_waits_for_what_runs(self):
+        dispatch = self.driver.arrive('r1', 'order')
+        self.stop()
+        for _ in range(20):
+            self.driver.tick(200)
+            self.assertFalse(self.driver.state.exiting)
+        self.driver.ended(dispatch)
+        self.driver.tick(50)
+        self.assertTrue(self.driver.state.exiting)
+
+    def test_ends_in_time_whatever_runs(self):
+        self.driver.arrive('r1', 'order')
+        self.stop()
+        stop_ms = self.driver.state.options.stop_ms
+        while not self.driver.state.exiting:
+            self.driver.tick(50)
+        self.assertLess(self.driver.now_ms - gateways.START_MS, stop_ms)
--- /dev/null
+++ b/packages/ragwortgw-gateway/tests/test_routes.py
@@ -0,0 +1,56 @@
+"""Tests of route lookup."""
+
+import collections
+import unittest
+
+from ragwortgw_gateway import documents
+from ragwortgw_gateway import routes
+from tests import gateways
+
+
+class MatchTest(unittest.TestCase):
+    def setUp(self):
+        made = (
+            gateways.route('a', prefix='/a/'),
+            gateways.route('ab', prefix='/a/b/'),
+            gateways.route('other', host='other.example', prefix='/a/'),
+        )
+        self.table = routes.RouteTable(gateways.configuration(routes=made))
+
+    def match(self, host, path):
+        found = self.table.match(host, path)
+        return None if found is None else found.id
+
+    def test_longest_prefix(self):
+        self.assertEqual('ab', self.match('print.example', '/a/b/c'))
+        self.assertEqual('a', self.match('print.example', '/a/bc'))
+        self.assertEqual('a', self.match('print.example', '/a/'))
+
+    def test_prefix_ends_at_a_slash(self):
+        self.assertIsNone(self.match('print.example', '/a'))
+        self.assertIsNone(self.match('print.example', 'a/'))
+
+    def test_host(self):
+        self.assertEqual('other', self.match('other.example', '/a/b/c'))
+        self.assertIsNone(self.match('third.example', '/a/b/c'))
+
+    def test_owner(self):
+        self.assertEqual('festival', self.table.owner(gateways.KEY).id)
+        self.assertIsNone(self.table.owner('other'))
+        self.assertIsNone(self.table.owner(''))
+
+
+class TargetTest(unittest.TestCase):
+    def test_shares_follow_the_weights(self):
+        targets = (documents.Target('a', 90), documents.Target('b', 10))
+        route = gateways.route('r', targets=targets)
+        counts = collections.Counter(
+            routes.choose_target(route, str(n)) for n in range(5_000)
+        )
+        self.assertAlmostEqual(500, counts['b'], delta=100)
+
+    def test_weight_of_nothing(self):
+        targets = (documents.Target('a', 0), documents.Target('b', 10))
+        route = gateways.route('r', targets=targets)
+        chosen = {routes.choose_target(route, str(n)) for n in range(1_000)}
+        self.assertEqual({'b'}, chosen)
--- /dev/null
+++ b/packages/ragwortgw-gateway/tests/test_store_link.py
@@ -0,0 +1,83 @@
+"""Tests of the gateway's own entry in the store."""
+
+import unittest
+
+from ragwortgw_core import events
+from ragwortgw_core import operations
+from ragwortgw_core import platform
+from ragwortgw_gateway import notices
+from ragwortgw_gateway import store_link
+
+
+class StoreLinkTest(unittest.TestCase):
+    def setUp(self):
+        self.calls = operations.Operations()
+        self.link = store_link.StoreLink(self.calls, 'me', {'a': 1}, 'lease')
+        self.now_ms = 1_000
+        self.pending = []
+
+    def stamp(self):
+        return events.Stamp(self.now_ms, 0)
+
+    def tick(self, passed_ms=0):
+        self.now_ms += passed_ms
+        self.pending += self.link.on_tick(self.stamp())
+        return [each.call for each in self.pending]
+
+    def answer(self, result):
+        op_id = self.pending.pop(0).op_id
+        outputs = self.calls.answered(self.stamp(), op_id, result)
+        self.pending += [each for each in outputs if hasattr(each, 'op_id')]
+        return [each for each in outputs if not hasattr(each, 'op_id')]
+
+    def register(self):
+        self.tick()
+        self.answer(platform.Granted('lease', 9_000))
+        self.answer(platform.Written('me', 5))
+
+    def test_registers_under_a_lease(self):
+        self.tick()
+        self.answer(platform.Granted('lease', 9_000))
+        put = self.pending[0].call
+        self.assertEqual(
+            ('me', 0, 'lease'), (put.key, put.revision, put.lease)
+        )
+
+    def test_renewal_does_not_write(self):
+        self.register()
+        self.tick(store_link.RENEW_INTERVAL_MS)
+        self.answer(platform.Granted('lease', 9_000, True))
+        self.assertEqual([], self.pending)
+
+    def test_lapsed_lease_writes_again(self):
+        self.register()
+        self.tick(store_link.RENEW_INTERVAL_MS)
+        self.answer(platform.Granted('lease', 9_000, False))
+        self.assertIsInstance(self.pending[0].call, platform.Put)
+
+    def test_entry_of_an_earlier_start_is_replaced(self):
+        self.tick()
+        self.answer(platform.Granted('lease', 9_000))
+        self.answer(platform.Conflict('me', b'old', 7))
+        self.tick()
+        self.answer(platform.Granted('lease', 9_000, True))
+        self.assertEqual(7, self.pending[0].call.revision)
+
+    def test_outage_is_told_once_and_its_end(self):
+        self.register()
+        told = []
+        for _ in range(3):
+            self.tick(store_link.RENEW_INTERVAL_MS)
+            told += self.answer(platform.Unavailable(False))
+        self.assertEqual([notices.StoreLost()], told)
+        self.assertFalse(self.link.reachable)
+        self.tick(store_link.RETRY_MS)
+        (notice,) = self.answer(platform.Granted('lease', 9_000, True))
+        self.assertIsInstance(notice, notices.StoreRegained)
+        self.assertTrue(self.link.reachable)
+        self.assertEqual(self.now_ms, self.link.regained_ms)
+
+    def test_release(self):
+        self.register()
+        (effect,) = self.link.release(self.stamp())
+        self.assertEqual(platform.Revoke('lease'), effect.call)
