Drop requests that cross the close of an idle connection; test the path

Change: the session ends, and what it reads afterwards begins nothing. test_request_that_crosses_the_close_is_not_begun fails without it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core gateway wire server cli fakes
 SOURCES := packages features platform
-export PYTHONPATH := $(subst $(eval ) ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/ragwortgw-$(p)))
+export PYTHONPATH := $(subst $(eval ) ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/ragwortgw-$(p)) $(CURDIR)/platform)
 
 FEATURES := $(wildcard features/*.feature)
 JOBS ?= 4
@@ -33,13 +33,14 @@
 	$(BIN)/ruff format --check --quiet $(SOURCES) || \
 	  { $(BIN)/ruff format --diff $(SOURCES); exit 1; }
 	$(BIN)/flake8 $(SOURCES)
-	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/ragwortgw-$(p)/ragwortgw_$(p))
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/ragwortgw-$(p)/ragwortgw_$(p)) \
+	  platform/ragwortgw_platform platform/ragwortgw_standins
 
 format: setup
 	$(BIN)/ruff format $(SOURCES)
 
 unit: setup
-	set -e; for p in $(PACKAGES); do (cd packages/ragwortgw-$$p && \
+	set -e; for p in $(PACKAGES:%=packages/ragwortgw-%) platform; do (cd $$p && \
 	  $(abspath $(BIN))/python -m unittest discover -q -t . -s tests); done
 
 behave: setup
--- a/packages/ragwortgw-server/ragwortgw_server/http_server.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_server.py
@@ -96,8 +96,7 @@
     def close_idle(self) -> None:
         """Closes connections on which no request is under way."""
         for session in list(self._sessions):
-            if session.idle:
-                session.connection.close()
+            session.close_idle()
 
     def drain(self) -> None:
         """Stops listening; connections end with their present answer."""
--- a/packages/ragwortgw-server/ragwortgw_server/http_session.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_session.py
@@ -107,6 +107,15 @@
         """Whether the caller has not taken all that was answered."""
         return self._ending or self.connection.buffered_bytes > 0
 
+    def close_idle(self) -> None:
+        """Closes the connection if no request is under way on it.
+
+        A request that is on its way meanwhile is dropped unread: its
+        caller sees a connection that ended before it was read.
+        """
+        if self.idle and not self._ending:
+            self._end()
+
     def closes_after(self, exchange: http_exchange.Exchange) -> bool:
         return self._ending or not exchange.keep_alive or self._server.draining
 
--- a/packages/ragwortgw-server/tests/test_http_server.py
+++ b/packages/ragwortgw-server/tests/test_http_server.py
@@ -402,3 +402,66 @@
 
         answer = self.run_on_loop(body())
         self.assertIn(f'X-Body: {len(large)}'.encode(), answer)
+
+
+class RetireTest(support.LoopTest):
+    def test_answers_ask_callers_to_leave_while_listening_goes_on(self):
+        server = self.serve(echo)
+        server.retire()
+
+        async def body():
+            return [
+                await support.exchange(server.address, GET) for _ in range(2)
+            ]
+
+        for answer in self.run_on_loop(body()):
+            self.assertIn(b'200', answer[:20])
+            self.assertIn(b'Connection: close', answer)
+
+    def test_request_that_crosses_the_close_is_not_begun(self):
+        begun = []
+
+        def note(exchange):
+            begun.append(exchange.path)
+            echo(exchange)
+
+        server = self.serve(note)
+
+        async def body():
+            reader, writer = await support.connect(server.address)
+            writer.write(GET)
+            await support.read_head(reader)
+            await support.until(lambda: server.active == 0)
+            server.close_idle()
+            writer.write(GET)
+            await reader.read()
+            await asyncio.sleep(0.05)
+
+        self.run_on_loop(body())
+        self.assertEqual(['/a'], begun)
+
+    def test_request_under_way_is_not_closed(self):
+        kept = []
+        server = self.serve(kept.append)
+
+        async def body():
+            reader, writer = await support.connect(server.address)
+            writer.write(GET)
+            await support.until(lambda: kept)
+            server.close_idle()
+            echo(kept[0])
+            return await support.read_head(reader)
+
+        self.assertIn(b'200', self.run_on_loop(body()))
+
+
+class RepeatedHeaderTest(support.LoopTest):
+    check_refusal = BadRequestTest.check_refusal
+
+    def test_two_lengths(self):
+        request = POST + b'Content-Length: 1\r\nContent-Length: 2\r\n\r\nab'
+        self.check_refusal(request, 'malformed-request')
+
+    def test_two_hosts(self):
+        request = b'GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n'
+        self.check_refusal(request, 'malformed-request')
