--- a/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
@@ -17,6 +17,9 @@
 #: is two seconds or more; each watch is one call.
 WATCH_MS = 1_500
 WATCH_GRACE_MS = 700
+#: Changes often come in groups; after one, the next watch starts this much
+#: later, so that it brings the others of the group at once.
+WATCH_PAUSE_MS = 150
 #: The list is read again after this time; it costs as much as a watch.
 RELIST_INTERVAL_MS = 8_000
 LIST_TIMEOUT_MS = 2_000
@@ -150,6 +153,8 @@
                 return []
             return self._take_all(stamp, result, second_hand=False)
         if isinstance(result, platform.Changes):
+            if result.changes:
+                self._call_deadline_ms = stamp.now_ms + WATCH_PAUSE_MS
             return self._take_changes(stamp, result)
         return []
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -226,6 +226,8 @@
     state: State, stamp: core_events.Stamp, notice: notices.PrefixChanged
 ) -> list[Any]:
     formats = state.formats
+    for found in notice.written:
+        state.rollouts.status_seen(found)
     return [
         *_take_own(state, stamp, _part(notice, formats.own_prefix)),
         *_take_orders(state, stamp, _part(notice, formats.operator_prefix)),
@@ -259,9 +261,10 @@
             outputs.append(_unreadable(found))
             continue
         state.rollouts.ordered(order, stamp.now_ms, settled)
-        for step in state.values.found:
-            if step.key.startswith(state.formats.own_prefix):
-                state.rollouts.stepped(step, stamp.now_ms)
+        for held in state.values.found:
+            state.rollouts.status_seen(held)
+            if held.key.startswith(state.formats.own_prefix):
+                state.rollouts.stepped(held, stamp.now_ms)
         fields = {**order._asdict(), 'second_hand': notice.second_hand}
         outputs.append(core_effects.Record('rollout-ordered', fields))
     for key in notice.deleted:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
@@ -102,7 +102,8 @@
         self.fresh = fresh
         self.step_seen_ms = now_ms
         self.call_deadline_ms = 0
-        self.status_written = ''
+        #: What operators read of it in the store.
+        self.status = b''
 
     @property
     def phase(self) -> Phase:
@@ -201,6 +202,12 @@
         track.step_seen_ms = now_ms
         return step
 
+    def status_seen(self, found: platform.Found) -> None:
+        """Takes what operators read of a roll-out, as found in the store."""
+        for service, track in self.tracks_by_service.items():
+            if found.key == self._formats.rollout_status_key(service):
+                track.status = found.value
+
     def share(self, track: Track) -> float:
         """Returns the share of new sessions that go to the candidate."""
         shares: dict[Phase, float] = {
@@ -281,7 +288,7 @@
         result: platform.Result,
     ) -> list[Any]:
         """Takes the answer to a write of a step or of a status."""
-        kind, service, value = tag
+        kind, service = tag
         track = self.tracks_by_service.get(service)
         if track is None:
             return []
@@ -289,7 +296,8 @@
         if isinstance(result, platform.Unavailable):
             return []
         if kind == 'status':
-            track.status_written = value
+            assert isinstance(call, platform.Put)
+            track.status = call.value
             return []
         if isinstance(result, platform.Conflict):
             found = platform.Found(result.key, result.value, result.revision)
@@ -340,15 +348,16 @@
         if stamp.now_ms < track.step_seen_ms + late_ms:
             return []
         phase = 'running' if not track.final else track.phase
-        if track.status_written == phase:
+        value = self._formats.write_rollout_status(track.order, phase)
+        if track.status == value:
             return []
         track.call_deadline_ms = stamp.now_ms + CALL_TIMEOUT_MS
         write = platform.Put(
             self._formats.rollout_status_key(service),
-            self._formats.write_rollout_status(track.order, phase),
+            value,
             platform.ANY_REVISION,
         )
-        return self._call(stamp, ('status', service, phase), write)
+        return self._call(stamp, ('status', service), write)
 
     def _position(self, service: str, peers: Peers) -> int:
         """Returns this gateway's place in the order of who acts first."""
@@ -404,7 +413,7 @@
         fields = {'service': service, **step._asdict()}
         return [
             core_effects.Record('rollout-step', fields),
-            *self._call(stamp, ('step', service, phase), write),
+            *self._call(stamp, ('step', service), write),
         ]
 
     def _call(
