Serve on while stopping; hold requests for the first configuration

Change: the listener stays open to the end; after 3 s only requests that will be over are taken, others are told when to come back: at once if a gateway is known that takes callers, else after the restart. Requests wait for the first configuration, 1 s at most.

Ruled out: ending sooner; streams of 5 s keep every stop to its end.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -89,6 +89,7 @@
       incarnation: Names one start of the process.
       sequence: Counts its digests.
       address: 'ip:port' where it sends and receives digests.
+      stopping: Whether it takes no new callers.
       revision: Store revision of the last change that it has seen.
       loads_by_server: Its work by backend server; idle ones are left out.
       suspended_ms_by_server: Servers that it keeps away from, and how
@@ -101,6 +102,7 @@
     incarnation: str
     sequence: int
     address: str
+    stopping: bool
     revision: int
     loads_by_server: dict[str, ServerLoad]
     suspended_ms_by_server: dict[str, int]
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
@@ -78,7 +78,7 @@
 
 
 class CloseCallers(NamedTuple):
-    """Stops listening and closes callers' connections once idle."""
+    """Closes callers' connections on which no request is under way."""
 
 
 class Abandon(NamedTuple):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -19,6 +19,8 @@
 from ragwortgw_gateway import gateway_state
 from ragwortgw_gateway import notices
 from ragwortgw_gateway import patience
+from ragwortgw_gateway import refusal
+from ragwortgw_gateway import requests
 from ragwortgw_gateway import rollouts
 from ragwortgw_gateway import routes
 
@@ -30,10 +32,16 @@
 #: Retry-After of a gateway that has no configuration yet.
 NO_CONFIGURATION_RETRY_MS = 500
 STOPPING_RETRY_MS = 200
+#: Time from the end of a process until the next one serves.
+RESTART_MS = 1_500
+#: A gateway that has just started lets requests wait this long for its
+#: configuration; the store commonly answers within a tenth of it.
+START_HOLD_MS = 1_000
 #: Requests are taken for this long after a planned stop begins, since
-#: callers are still sent here.
+#: callers are still sent here; after it, only those that will be over.
 STOP_ACCEPT_MS = 3_000
-#: Idle connections of callers are closed this long after the stop begins.
+#: Idle connections of callers are closed this long after the stop begins;
+#: new ones are taken until the end, in case no other gateway is there.
 CLOSE_IDLE_MS = 2_500
 #: Part of the time of a stop that is left for callers to read the end.
 STOP_RESERVE_MS = 600
@@ -72,7 +80,34 @@
 def on_request(
     state: State, stamp: core_events.Stamp, event: events.RequestArrived
 ) -> list[Any]:
-    request = event.request
+    if state.table is None and not _held_long_enough(state, stamp):
+        state.held_requests_by_id[event.request.id] = event.request
+        return []
+    return _admit(state, stamp, event.request)
+
+
+def _held_long_enough(state: State, stamp: core_events.Stamp) -> bool:
+    return bool(
+        state.started_ms and stamp.now_ms - state.started_ms > START_HOLD_MS
+    )
+
+
+def _admit_held(state: State, stamp: core_events.Stamp) -> list[Any]:
+    """Goes on with requests that waited for the first configuration."""
+    if state.table is None and not _held_long_enough(state, stamp):
+        return []
+    outputs: list[Any] = []
+    held = list(state.held_requests_by_id.values())
+    state.held_requests_by_id.clear()
+    for request in held:
+        outputs += _admit(state, stamp, request)
+    return outputs
+
+
+def _admit(
+    state: State, stamp: core_events.Stamp, request: requests.Request
+) -> list[Any]:
+    """Finds a request's route and owner, and sends it."""
     table = state.table
     if table is None:
         return _refuse_unrouted(
@@ -89,17 +124,45 @@
     active = gateway_state.Active(request, route, service, organisation)
     state.requests_by_id[request.id] = active
     state.budget.count_request(service, stamp.now_ms)
-    stopping_ms = stamp.now_ms - state.stop_began_ms
-    if state.stopping and stopping_ms > STOP_ACCEPT_MS:
-        failure = errors.Stopping(STOPPING_RETRY_MS)
+    if not _over_before_stop(state, stamp, active):
+        failure = errors.Stopping(_stopping_retry_ms(state, stamp, active))
         return dispatching.refuse(state, stamp, active, failure)
     return dispatching.dispatch(state, stamp, active)
 
 
+def _stopping_retry_ms(
+    state: State, stamp: core_events.Stamp, active: gateway_state.Active
+) -> int:
+    """Returns when a caller of a stopping gateway may come back.
+
+    At once if another gateway takes callers, else after the restart.
+    """
+    if any(not peer.digest.stopping for peer in state.peers_by_id.values()):
+        return STOPPING_RETRY_MS
+    end_ms = state.stop_began_ms + state.options.stop_ms + RESTART_MS
+    left_ms = active.deadline_ms - stamp.now_ms
+    wait_ms = end_ms - stamp.now_ms
+    return refusal.retry_after_ms(wait_ms, left_ms, stamp.seed)
+
+
+def _over_before_stop(
+    state: State, stamp: core_events.Stamp, active: gateway_state.Active
+) -> bool:
+    """Tells whether a request can be answered before a planned stop ends."""
+    if not state.stopping:
+        return True
+    elapsed_ms = stamp.now_ms - state.stop_began_ms
+    if elapsed_ms <= STOP_ACCEPT_MS:
+        return True
+    left_ms = state.options.stop_ms - STOP_RESERVE_MS - elapsed_ms
+    return active.deadline_ms - stamp.now_ms < left_ms
+
+
 @REDUCER.handles(events.CallerLeft)
 def on_caller_left(
     state: State, stamp: core_events.Stamp, event: events.CallerLeft
 ) -> list[Any]:
+    state.held_requests_by_id.pop(event.request_id, None)
     active = state.requests_by_id.get(event.request_id)
     if active is None:
         return []
@@ -128,6 +191,7 @@
     outputs += attempts.forget_servers(
         state, state.fleet.expire(stamp.now_ms).removed
     )
+    outputs += _admit_held(state, stamp)
     outputs += patience.on_tick(state, stamp)
     outputs += _tend_rollouts(state, stamp)
     outputs += _tell_others(state, stamp)
@@ -146,7 +210,8 @@
     else:
         # The next watch starts at once, not at the next tick.
         outputs += state.values.on_tick(stamp)
-    return gateway_state.apply_notices(state, stamp, outputs)
+    applied = gateway_state.apply_notices(state, stamp, outputs)
+    return [*applied, *_admit_held(state, stamp)]
 
 
 @REDUCER.handles(events.DigestReceived)
@@ -433,6 +498,7 @@
         state.incarnation,
         state.next_digest,
         state.digest_address,
+        state.stopping,
         state.values.changed_revision,
         state.loads.own(),
         state.suspects.own(now_ms),
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -230,6 +230,8 @@
         self.sessions = session_versions.SessionVersions(
             options.session_lifetime_ms
         )
+        #: Requests that wait for the first configuration.
+        self.held_requests_by_id: dict[str, requests.Request] = {}
         self.requests_by_id: dict[str, Active] = {}
         self.requests_by_attempt: dict[str, Active] = {}
         self.peers_by_id: dict[str, Peer] = {}
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -20,10 +20,35 @@
 class AdmissionTest(unittest.TestCase):
     def test_no_configuration_is_no_404(self):
         driver = gateways.Driver()
+        driver.tick()
+        driver.tick(gateway.START_HOLD_MS + 50)
         driver.arrive('r1')
         self.assertEqual(503, driver.refused().status)
         self.assertFalse(driver.state.ready)
 
+    def test_request_waits_a_moment_for_the_first_configuration(self):
+        driver = gateways.Driver()
+        driver.tick()
+        self.assertIsNone(driver.arrive('r1'))
+        self.assertIsNone(driver.refused())
+        driver.start()
+        self.assertEqual('r1', driver.sent().request_id)
+
+    def test_request_does_not_wait_long_for_the_first_configuration(self):
+        driver = gateways.Driver()
+        driver.tick()
+        driver.arrive('r1')
+        driver.tick(gateway.START_HOLD_MS + 50)
+        self.assertEqual(503, driver.refused().status)
+
+    def test_caller_that_leaves_while_it_waits_is_forgotten(self):
+        driver = gateways.Driver()
+        driver.tick()
+        driver.arrive('r1')
+        driver.reduce(events.CallerLeft('r1'))
+        driver.start()
+        self.assertIsNone(driver.sent())
+
     def test_unknown_path(self):
         driver = gateways.Driver().start()
         driver.arrive('r1', 'nowhere')
@@ -538,11 +563,36 @@
         self.assertFalse(self.driver.state.ready)
         self.assertIsNotNone(self.driver.arrive('r1'))
 
-    def test_refuses_after_a_while_and_says_not_run(self):
+    def test_refuses_what_would_outlast_it_and_says_not_run(self):
         self.stop()
         self.driver.tick(gateway.STOP_ACCEPT_MS + 50)
         self.driver.arrive('r1', 'order')
         self.assertEqual(503, self.driver.refused().status)
+        self.assertEqual('no', errors.problem(self.driver.refused())['ran'])
+
+    def retry_ms(self, other_stops):
+        self.stop()
+        self.driver.tick(gateway.STOP_ACCEPT_MS + 50)
+        other = gateways.Driver('edge-2').start()
+        if other_stops:
+            other.reduce(core_events.StopRequested())
+        self.driver.hear(other)
+        self.driver.arrive('r1', 'order')
+        return self.driver.refused().retry_after_ms
+
+    def test_caller_may_go_to_another_gateway_at_once(self):
+        self.assertLess(self.retry_ms(other_stops=False), 500)
+
+    def test_caller_waits_for_the_restart_if_all_are_stopping(self):
+        self.assertGreater(self.retry_ms(other_stops=True), 2_000)
+
+    def test_serves_to_the_end_what_will_be_over(self):
+        self.driver.arrive('r0', 'order')
+        self.stop()
+        self.driver.tick(gateway.STOP_ACCEPT_MS + 50)
+        deadline_ms = self.driver.now_ms + 1_000
+        sent = self.driver.arrive('r1', 'order', deadline_ms=deadline_ms)
+        self.assertIsNotNone(sent)
 
     def test_waits_for_what_runs(self):
         dispatch = self.driver.arrive('r1', 'order')
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
@@ -84,8 +84,7 @@
 
 @applies(effects.CloseCallers)
 def apply_close_callers(process: Any, effect: effects.CloseCallers) -> None:
-    """Stops listening and closes idle connections of callers."""
-    process.caller_server.drain()
+    """Closes idle connections of callers."""
     process.caller_server.close_idle()
 
 
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
@@ -289,6 +289,8 @@
             self.timeline.record(core_effects.Record('left-out', fields))
 
     async def _exit(self) -> None:
+        self.caller_server.drain()
+        self.caller_server.close_idle()
         await self.caller_server.wait_flushed()
         self.loop.stop()
 
