Let less urgent requests go by the bounds of more urgent ones

And in an outage each gateway called the store at each tick (1446 calls).

Change: a request is judged by the strictest objective and time limit of all routes of its service that are as urgent or more; an outage is probed twice a second.

Ruled out: a share of the slots for each rank: slots are not what runs out on model runners.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -12,6 +12,7 @@
 from ragwortgw_gateway import refusal
 from ragwortgw_gateway import requests
 from ragwortgw_gateway import rollouts
+from ragwortgw_gateway import routes
 from ragwortgw_gateway import tiers
 
 #: Times that one request may be turned away without having run.
@@ -97,9 +98,16 @@
     active: gateway_state.Active,
 ) -> refusal.Asked:
     """Returns what a request asks for."""
+    route = active.route
+    bounds = None
+    if state.table is not None:
+        bounds = state.table.strictest(active.service, route.priority)
+    if bounds is None:
+        bounds = routes.Bounds(route.objective_ms, route.timeout_ms)
     return refusal.Asked(
-        active.route.priority,
-        active.route.objective_ms,
+        route.priority,
+        bounds.objective_ms,
+        bounds.timeout_ms,
         active.deadline_ms - stamp.now_ms,
         state.returns.returned(active.request.fingerprint, stamp.now_ms),
     )
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/refusal.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/refusal.py
@@ -29,13 +29,16 @@
 
     Args:
       rank: Its rank among the requests of its service, 0 first.
-      objective_ms: Time within which its answer has to begin.
+      objective_ms: Time within which its answer has to begin, and those
+        of all that are as urgent.
+      finish_ms: Time within which it has to end, as above.
       left_ms: Time until its deadline.
       returned: Whether it was refused before and came back as told.
     """
 
     rank: int
     objective_ms: int
+    finish_ms: int
     left_ms: int
     returned: bool
 
@@ -56,11 +59,9 @@
     if asked.returned:
         share = ON_TIME_SHARES[0]
     latest_ms = min(asked.objective_ms, asked.left_ms) * share
-    finish_ms = placed.backlog_ms + placed.work_ms
-    return max(
-        placed.first_ms - latest_ms,
-        finish_ms - asked.left_ms * FINISH_SHARE * share,
-    )
+    busy_ms = placed.backlog_ms + placed.work_ms
+    finish_ms = min(asked.finish_ms, asked.left_ms) * FINISH_SHARE * share
+    return max(placed.first_ms - latest_ms, busy_ms - finish_ms)
 
 
 def retry_after_ms(wait_ms: float, left_ms: int, seed: int) -> int:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/routes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/routes.py
@@ -1,6 +1,7 @@
 """Finds the route of a request and the owner of its key."""
 
 import bisect
+from typing import NamedTuple
 
 import xxhash
 
@@ -14,6 +15,13 @@
     return xxhash.xxh64_intdigest(text.encode()) / MAX_HASH
 
 
+class Bounds(NamedTuple):
+    """The strictest bounds of some routes, in ms."""
+
+    objective_ms: int
+    timeout_ms: int
+
+
 class RouteTable:
     """Routes and keys of one configuration, ready to be looked up."""
 
@@ -28,6 +36,40 @@
             for key in organisation.keys
         }
         self.keyed = bool(configuration.organisations)
+        self._bounds_by_rank: dict[tuple[str, int], Bounds] = {}
+        for route in configuration.routes:
+            for target in route.targets:
+                self._tighten((target.service, route.priority), route)
+
+    def strictest(self, service: str, rank: int) -> Bounds | None:
+        """Returns the strictest bounds of a service's routes up to a rank.
+
+        What is less urgent has to leave room for what is more urgent, so
+        that it goes by the bounds of that as well.
+
+        Args:
+          service: The service.
+          rank: The least urgent rank that counts.
+        Returns: The bounds, None if the service has no such route.
+        """
+        found = [
+            bounds
+            for (each, priority), bounds in self._bounds_by_rank.items()
+            if each == service and priority <= rank
+        ]
+        if not found:
+            return None
+        return Bounds(
+            min(bounds.objective_ms for bounds in found),
+            min(bounds.timeout_ms for bounds in found),
+        )
+
+    def _tighten(self, key: tuple[str, int], route: documents.Route) -> None:
+        known = self._bounds_by_rank.get(key)
+        bounds = Bounds(route.objective_ms, route.timeout_ms)
+        if known is not None:
+            bounds = Bounds(*map(min, known, bounds))
+        self._bounds_by_rank[key] = bounds
 
     def match(self, host: str, path: str) -> documents.Route | None:
         """Finds the route with the longest prefix of a path.
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/store_link.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_link.py
@@ -65,8 +65,9 @@
         return self._call(stamp, platform.Revoke(self._lease))
 
     def failed(self, stamp: events.Stamp) -> list[Any]:
-        """Takes note that another call went unanswered."""
-        self._call_deadline_ms = min(self._call_deadline_ms, stamp.now_ms)
+        """Takes note that another call went unanswered; probes at once."""
+        if self.reachable:
+            self._call_deadline_ms = min(self._call_deadline_ms, stamp.now_ms)
         return []
 
     def on_result(
--- a/packages/ragwortgw-gateway/tests/test_decisions.py
+++ b/packages/ragwortgw-gateway/tests/test_decisions.py
@@ -161,7 +161,7 @@
 
 class RefusalTest(unittest.TestCase):
     def excess(self, rank, first_ms, backlog_ms=0.0, returned=False):
-        asked = refusal.Asked(rank, 4_000, 12_000, returned)
+        asked = refusal.Asked(rank, 4_000, 12_000, 12_000, returned)
         return refusal.excess_ms(asked, placed(first_ms, backlog_ms))
 
     def test_in_time_is_admitted(self):
--- a/packages/ragwortgw-gateway/tests/test_routes.py
+++ b/packages/ragwortgw-gateway/tests/test_routes.py
@@ -54,3 +54,17 @@
         route = gateways.route('r', targets=targets)
         chosen = {routes.choose_target(route, str(n)) for n in range(1_000)}
         self.assertEqual({'b'}, chosen)
+
+
+class BoundsTest(unittest.TestCase):
+    def test_less_urgent_routes_go_by_the_bounds_of_urgent_ones(self):
+        made = (
+            gateways.route('a', priority=0, objective_ms=3_000, timeout_ms=9),
+            gateways.route('b', priority=1, objective_ms=4_000, timeout_ms=8),
+            gateways.route('c', priority=2, objective_ms=2_000, timeout_ms=99),
+        )
+        table = routes.RouteTable(gateways.configuration(routes=made))
+        self.assertEqual((3_000, 9), table.strictest('proofs', 0))
+        self.assertEqual((3_000, 8), table.strictest('proofs', 1))
+        self.assertEqual((2_000, 8), table.strictest('proofs', 2))
+        self.assertIsNone(table.strictest('other', 2))
--- a/packages/ragwortgw-gateway/tests/test_store_link.py
+++ b/packages/ragwortgw-gateway/tests/test_store_link.py
@@ -77,6 +77,17 @@
         self.assertTrue(self.link.reachable)
         self.assertEqual(self.now_ms, self.link.regained_ms)
 
+    def test_outage_is_probed_at_a_bounded_rate(self):
+        self.register()
+        calls = 0
+        for _ in range(100):
+            self.tick(50)
+            while self.pending:
+                calls += 1
+                self.answer(platform.Unavailable(False))
+                self.link.failed(self.stamp())
+        self.assertLess(calls, 5_000 / store_link.RETRY_MS + 2)
+
     def test_release(self):
         self.register()
         (effect,) = self.link.release(self.stamp())
