--- a/packages/ragwortgw-cli/ragwortgw_cli/main.py
+++ b/packages/ragwortgw-cli/ragwortgw_cli/main.py
@@ -15,6 +15,7 @@
 import uuid_utils
 
 from ragwortgw_cli import client
+from ragwortgw_cli import explain_command
 from ragwortgw_cli import rendering
 from ragwortgw_cli import timeline_command
 from ragwortgw_core import language
@@ -194,6 +195,7 @@
     'help': show_help,
     'key': key,
     'timeline': timeline_command.timeline,
+    'explain': explain_command.explain,
 }
 
 
--- a/packages/ragwortgw-cli/ragwortgw_cli/timeline_merge.py
+++ b/packages/ragwortgw-cli/ragwortgw_cli/timeline_merge.py
@@ -10,6 +10,7 @@
 
 
 CONFIGURATION = 'configuration'
+RECORD_BEGIN = b'{"at_ms"'
 
 
 class Line(TypedDict):
@@ -58,8 +59,10 @@
     bad = 0
     for path in paths:
         for text in path.read_bytes().splitlines():
+            # A collector of logs may put its own columns before a line.
+            record = text[max(0, text.find(RECORD_BEGIN)) :]
             try:
-                lines.append(msgspec.json.decode(text, type=Line))
+                lines.append(msgspec.json.decode(record, type=Line))
             except msgspec.MsgspecError:
                 bad += 1
     lines.sort(key=lambda line: (line['at_ms'], line['order']))
