Tell which prompts were read where; accept less the busier the larger model

And under load the large model's time went to answers that the small one had almost got right.

Change: digests carry the shared parts that were sent where; the home only decides between near equals. The opinion from which an answer is taken falls from 62 to 35 as the larger model nears the point where it would begin too late.

Ruled out: one threshold.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -38,8 +38,11 @@
         return []
     learn(state, stamp, active, attempt)
     outputs = _hedges_lost(state, active, attempt.id)
-    accepted = state.tiers.accepts(attempt.model, event.head.confidence)
-    if attempt.final or accepted or not _may_drop(state, stamp, active):
+    pressure = None if attempt.final else _pressure(state, stamp, active)
+    accepted = state.tiers.accepts(
+        attempt.model, event.head.confidence, pressure or 0.0
+    )
+    if accepted or pressure is None or pressure > 1:
         attempt.delivered = True
         active.streaming = True
         return [*outputs, effects.Deliver(attempt.id)]
@@ -59,6 +62,7 @@
                 'attempt': attempt.id,
                 'model': attempt.model,
                 'confidence': event.head.confidence,
+                'pressure': round(pressure, 2),
                 'next_model': active.choice.model,
             },
         ),
@@ -307,25 +311,25 @@
     note_version(state, active, attempt, failed=False)
 
 
-def _may_drop(
+def _pressure(
     state: gateway_state.State,
     stamp: core_events.Stamp,
     active: gateway_state.Active,
-) -> bool:
-    """Tells whether a weak answer is dropped for that of a larger model.
+) -> float | None:
+    """Tells how busy the larger model is that could answer instead.
 
-    It is not if the larger model would be too late: a weak answer now is
-    better than none.
+    Returns: 0 if it could begin at once, 1 if just in time, more if it
+      would be too late; None if it may not be asked.
     """
     if active.streaming or not dispatching.may_ask_again(state, stamp, active):
-        return False
+        return None
     _, servers = dispatching.choose_version(state, stamp, active)
     larger = _larger(active)
     placed = dispatching.place(state, stamp, active, larger, servers)
     if placed is None:
-        return False
+        return None
     asked = dispatching.asked(state, stamp, active)
-    return refusal.excess_ms(asked, placed) <= 0
+    return refusal.pressure(asked, placed)
 
 
 def _larger(active: gateway_state.Active) -> Any:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ragwortgw_core import platform
+from ragwortgw_gateway import requests
 
 
 class Beliefs(NamedTuple):
@@ -81,6 +82,20 @@
     age_ms: int
 
 
+class Read(NamedTuple):
+    """A prompt that one gateway had a backend server read.
+
+    Args:
+      server: Id of the backend server.
+      model: The model.
+      parts: Parts that other requests may share.
+    """
+
+    server: str
+    model: str
+    parts: tuple[requests.PromptPart, ...]
+
+
 class Digest(NamedTuple):
     """What one gateway knows at a moment.
 
@@ -96,6 +111,7 @@
         long still.
       crashes: Crashes of the last minute that it saw itself.
       evidence_by_service: Roll-outs under way.
+      reads: Prompts that it sent of late.
     """
 
     sender: str
@@ -108,6 +124,7 @@
     suspended_ms_by_server: dict[str, int]
     crashes: tuple[Crash, ...]
     evidence_by_service: dict[str, RolloutEvidence]
+    reads: tuple[Read, ...] = ()
 
 
 def encode(digest: Digest) -> bytes:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -89,7 +89,24 @@
         active.request.fingerprint, stamp.now_ms, active.deadline_ms
     )
     active.last_failure = f'too late by {round(excess_ms)} ms'
-    return give_up(state, stamp, active, errors.Overloaded(retry_ms))
+    return [
+        core_effects.Record(
+            'request-refused',
+            {
+                'request': active.request.id,
+                'rank': active.route.priority,
+                'best_server': placed.server.id,
+                'excess_ms': round(excess_ms),
+                'first_ms': round(placed.first_ms),
+                'backlog_ms': round(placed.backlog_ms),
+                'work_ms': round(placed.work_ms),
+                'left_ms': left_ms,
+                'retry_after_ms': retry_ms,
+                'registry_age_ms': stamp.now_ms - state.values.heard_ms,
+            },
+        ),
+        *give_up(state, stamp, active, errors.Overloaded(retry_ms)),
+    ]
 
 
 def asked(
@@ -243,6 +260,9 @@
             request.prompt.parts,
             0 if service is None else service.cache_tokens,
         )
+        state.prefixes.tell(
+            server.id, attempt.model, request.prompt.parts, stamp.now_ms
+        )
     load = state.loads.at(server.id)
     state.loads.begin(
         attempt.id, server.id, placed.prompt_ms, placed.work_ms, tokens
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -229,9 +229,21 @@
     state.peer_addresses_by_id[digest.sender] = digest.address
     state.loads.heard(digest.sender, digest.loads_by_server, stamp.now_ms)
     state.crashes.heard(digest.crashes, stamp.now_ms)
+    for read in digest.reads:
+        _note_read(state, read)
     return []
 
 
+def _note_read(state: State, read: digests.Read) -> None:
+    """Takes note of a prompt that another gateway had a server read."""
+    server = state.fleet.servers_by_id.get(read.server)
+    if server is None:
+        return
+    service = state.service(server.service)
+    cache_tokens = 0 if service is None else service.cache_tokens
+    state.prefixes.read(read.server, read.model, read.parts, cache_tokens)
+
+
 @REDUCER.handles(events.BeliefsOffered)
 def on_beliefs(
     state: State, stamp: core_events.Stamp, event: events.BeliefsOffered
@@ -504,6 +516,7 @@
         state.suspects.own(now_ms),
         state.crashes.own(now_ms),
         state.rollouts.evidence(now_ms),
+        state.prefixes.told(now_ms),
     )
 
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
@@ -32,8 +32,9 @@
 MEMORY_SHARE = 0.9
 #: What sending again costs where a server fails part of its requests.
 FAILURE_MS = 400.0
-#: Part of a shared prefix that its home server is believed to hold.
-HOME_SHARE = 0.9
+#: What speaks for a prefix's home: this part of the time to read the
+#: prefix. Gateways that meet a new prefix at once then choose alike.
+HOME_SHARE = 0.15
 
 
 class Placed(NamedTuple):
@@ -134,14 +135,15 @@
             cached = self._prefixes.cached_tokens(
                 server.id, model, prompt.parts
             )
-            if server is home:
-                cached = max(cached, int(shared_tokens * HOME_SHARE))
             unread = max(0, prompt.tokens - cached)
             expected = self._pace.expect_model(model, unread)
             slowness = self._pace.slowness(server.id, now_ms)
             first_ms = slowness * (load.pending_ms + expected.first_ms)
             score = first_ms + self._extra_ms(server, load)
             score += BACKLOG_WEIGHT * slowness * load.work_ms
+            if server is home:
+                shared_ms = self._pace.expect_model(model, shared_tokens)
+                score -= HOME_SHARE * shared_ms.prompt_ms
             needed = load.tokens + prompt.tokens + prompt.output_tokens
             if cache_tokens and needed > cache_tokens * MEMORY_SHARE:
                 score += expected.first_ms + load.pending_ms + FAILURE_MS
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/prefixes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/prefixes.py
@@ -5,10 +5,16 @@
 
 import xxhash
 
+from ragwortgw_gateway import digests
 from ragwortgw_gateway import requests
 
 #: Parts remembered of one server where its memory is not known.
 MAX_PARTS = 512
+#: Others are told of a prompt in each digest of this time, in case one
+#: datagram is lost.
+TELL_MS = 600
+#: Prompts told of in one digest; the latest, if there are more.
+MAX_TOLD = 48
 
 
 class _Cache:
@@ -26,6 +32,27 @@
 
     def __init__(self) -> None:
         self._caches_by_server: dict[str, dict[str, _Cache]] = {}
+        self._told: collections.deque[tuple[int, digests.Read]] = (
+            collections.deque(maxlen=MAX_TOLD)
+        )
+
+    def tell(
+        self,
+        server_id: str,
+        model: str,
+        parts: Sequence[requests.PromptPart],
+        now_ms: int,
+    ) -> None:
+        """Keeps the shared parts of a prompt, to tell other gateways."""
+        if len(parts) > 1:
+            read = digests.Read(server_id, model, tuple(parts[:-1]))
+            self._told.append((now_ms, read))
+
+    def told(self, now_ms: int) -> tuple[digests.Read, ...]:
+        """Returns what other gateways are to be told."""
+        while self._told and self._told[0][0] < now_ms - TELL_MS:
+            self._told.popleft()
+        return tuple(read for _, read in self._told)
 
     def read(
         self,
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/refusal.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/refusal.py
@@ -43,6 +43,13 @@
     returned: bool
 
 
+class _Latest(NamedTuple):
+    """When an answer has to begin, and a server to be done, in ms."""
+
+    first_ms: float
+    finish_ms: float
+
+
 def excess_ms(asked: Asked, placed: placement.Placed) -> float:
     """Returns by how much the best server is too busy for a request.
 
@@ -55,13 +62,29 @@
       placed: The best server for it.
     Returns: Time until it would have room, 0 or less if it has.
     """
+    latest = _latest(asked)
+    busy_ms = placed.backlog_ms + placed.work_ms
+    return max(placed.first_ms - latest.first_ms, busy_ms - latest.finish_ms)
+
+
+def pressure(asked: Asked, placed: placement.Placed) -> float:
+    """Returns how near the best server is to being too busy, 1 at it."""
+    latest = _latest(asked)
+    busy_ms = placed.backlog_ms + placed.work_ms
+    return max(
+        placed.first_ms / max(1.0, latest.first_ms),
+        busy_ms / max(1.0, latest.finish_ms),
+    )
+
+
+def _latest(asked: Asked) -> _Latest:
     share = ON_TIME_SHARES[min(asked.rank, len(ON_TIME_SHARES) - 1)]
     if asked.returned:
         share = ON_TIME_SHARES[0]
-    latest_ms = min(asked.objective_ms, asked.left_ms) * share
-    busy_ms = placed.backlog_ms + placed.work_ms
-    finish_ms = min(asked.finish_ms, asked.left_ms) * FINISH_SHARE * share
-    return max(placed.first_ms - latest_ms, busy_ms - finish_ms)
+    finish_ms = min(asked.finish_ms, asked.left_ms) * FINISH_SHARE
+    return _Latest(
+        min(asked.objective_ms, asked.left_ms) * share, finish_ms * share
+    )
 
 
 def retry_after_ms(wait_ms: float, left_ms: int, seed: int) -> int:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/tiers.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/tiers.py
@@ -10,10 +10,14 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-#: Opinion of a model from which its answer is taken, of 100. At 50 an
-#: answer is as likely too weak as not; a weak one is worth almost nothing,
-#: so that asking again pays until it is rather likely to be good.
-ACCEPTED_CONFIDENCE = 65
+#: Opinion of a model from which its answer is taken, of 100, while the
+#: larger model has time. At 50 an answer is as likely too weak as not; a
+#: weak one is worth almost nothing, so that asking again pays until it is
+#: rather likely to be good.
+CALM_CONFIDENCE = 62
+#: The same when the larger model could just begin in time: what it would
+#: do for this answer is taken from others.
+BUSY_CONFIDENCE = 35
 #: Opinions seen before the share of accepted answers is trusted.
 PRIOR_ANSWERS = 4.0
 PRIOR_ACCEPTED = 0.5
@@ -71,17 +75,22 @@
                 best, best_cost = model, cost
         return Choice(best, best == largest)
 
-    def accepts(self, model: str, confidence: int | None) -> bool:
+    def accepts(
+        self, model: str, confidence: int | None, pressure: float = 0.0
+    ) -> bool:
         """Judges an answer by the model's opinion, and learns from it.
 
         Args:
           model: The model that answered.
           confidence: Its opinion, None where it gave none.
+          pressure: How busy the larger model is: 0 if it could begin at
+            once, 1 if it could just begin in time.
         Returns: Whether the caller gets the answer.
         """
         if confidence is None:
             return True
-        accepted = confidence >= ACCEPTED_CONFIDENCE
+        eased = (CALM_CONFIDENCE - BUSY_CONFIDENCE) * min(1.0, pressure)
+        accepted = confidence >= CALM_CONFIDENCE - eased
         opinions = self._opinions_by_model.setdefault(model, _Opinions())
         opinions.answers += 1
         weight = max(MIN_WEIGHT, 1 / opinions.answers)
--- a/packages/ragwortgw-gateway/tests/test_decisions.py
+++ b/packages/ragwortgw-gateway/tests/test_decisions.py
@@ -44,6 +44,12 @@
     def test_answer_without_opinion_is_taken(self):
         self.assertTrue(self.book.accepts('small', None))
 
+    def test_busy_larger_model_makes_content_with_less(self):
+        between = (tiers.CALM_CONFIDENCE + tiers.BUSY_CONFIDENCE) // 2
+        self.assertFalse(self.book.accepts('small', between, 0.0))
+        self.assertTrue(self.book.accepts('small', between, 1.0))
+        self.assertFalse(self.book.accepts('small', 5, 1.0))
+
     def test_single_model(self):
         choice = self.book.first(('only',), {}, True)
         self.assertEqual(tiers.Choice('only', True), choice)
@@ -176,6 +182,13 @@
     def test_server_that_could_not_finish_is_not_given_more(self):
         self.assertGreater(self.excess(0, 100.0, backlog_ms=9_000.0), 0)
 
+    def test_pressure_is_one_where_refusals_begin(self):
+        asked = refusal.Asked(1, 4_000, 12_000, 12_000, False)
+        for first_ms, backlog_ms in ((3_200.0, 0.0), (0.0, 5_660.0)):
+            there = placed(first_ms, backlog_ms)
+            self.assertAlmostEqual(1.0, refusal.pressure(asked, there))
+            self.assertAlmostEqual(0.0, refusal.excess_ms(asked, there))
+
     def test_returned_one_goes_before_its_rank(self):
         self.assertLessEqual(self.excess(2, 3_000.0, returned=True), 0)
 
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -409,6 +409,20 @@
         self.assertNotIn(f'r{n}', driver.state.requests_by_id)
 
 
+class PrefixTest(unittest.TestCase):
+    def test_other_gateways_know_what_was_read(self):
+        one = gateways.Driver('edge-1').start(servers=('s1', 's2', 's3'))
+        two = gateways.Driver('edge-2').start(servers=('s1', 's2', 's3'))
+        dispatch = one.arrive('r1', 'draft')
+        two.hear(one)
+        cached = two.state.prefixes.cached_tokens(
+            dispatch.server_id, dispatch.model, gateways.PROMPT.parts
+        )
+        self.assertEqual(2_000, cached)
+        one.now_ms += 5_000
+        self.assertEqual((), gateway.new_digest(one.state, one.now_ms).reads)
+
+
 class CrashTest(unittest.TestCase):
     def test_request_that_crashes_servers_is_contained_everywhere(self):
         one = gateways.Driver('edge-1').start(servers=('s1', 's2', 's3'))
--- a/packages/ragwortgw-gateway/tests/test_placement.py
+++ b/packages/ragwortgw-gateway/tests/test_placement.py
@@ -44,9 +44,13 @@
         self.assertNotEqual(self.home(), self.choose().server.id)
 
     def test_home_that_is_busy_for_a_moment_is_kept(self):
+        self.prefixes.read(self.home(), 'large', gateways.PROMPT.parts, 0)
         self.loads.begin('a', self.home(), 10.0, 10.0, 0)
         self.assertEqual(self.home(), self.choose().server.id)
 
+    def test_new_prefix_is_not_believed_to_be_cached(self):
+        self.assertEqual(3_000, self.choose().unread_tokens)
+
     def test_server_that_holds_all_beats_its_equals(self):
         other = next(s for s in self.servers if s.id != self.home())
         self.loads.begin('a', self.home(), 200.0, 200.0, 0)
