Three gateways follow the store for all; smaller models instead of refusals

Change: the three gateways that come first in a fixed order and to which the store has told something of late follow it; they tell the others at once, and those fetch. Only servers' entries are listed again. A smaller model answers where the chosen one would be late; a prompt too long to be in time is served late.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -106,6 +106,7 @@
       address: 'ip:port' where it sends and receives digests.
       stopping: Whether it takes no new callers.
       revision: Store revision of the last change that it has seen.
+      store_age_ms: Time since the store itself told it anything.
       loads_by_server: Its work by backend server; idle ones are left out.
       suspended_ms_by_server: Servers that it keeps away from, and how
         long still.
@@ -120,6 +121,7 @@
     address: str
     stopping: bool
     revision: int
+    store_age_ms: int
     loads_by_server: dict[str, ServerLoad]
     suspended_ms_by_server: dict[str, int]
     crashes: tuple[Crash, ...]
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -62,9 +62,12 @@
     if placed is None:
         return wait_or_refuse(state, stamp, active, bool(servers))
     if not active.sends:
-        refused = refuse_excess(state, stamp, active, placed)
-        if refused is not None:
-            return refused
+        excess_ms = refusal.excess_ms(asked(state, stamp, active), placed)
+        if excess_ms > 0:
+            smaller = find_smaller(state, stamp, active, choice, servers)
+            if smaller is None:
+                return refuse_excess(state, stamp, active, placed, excess_ms)
+            choice, placed = smaller
     if active.sends and not state.budget.spend(
         active.service, state.gateways, stamp.now_ms
     ):
@@ -73,16 +76,39 @@
     return send(state, stamp, active, choice, candidate, placed)
 
 
+def find_smaller(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+    choice: tiers.Choice | None,
+    servers: list[documents.BackendServer],
+) -> tuple[tiers.Choice, placement.Placed] | None:
+    """Finds a smaller model that is in time where the chosen one is not.
+
+    Its answer is taken whatever it thinks of it: better than none.
+
+    Returns: The model and its server, None if there is none.
+    """
+    if choice is None or choice.model not in active.route.tiers:
+        return None
+    wanted = asked(state, stamp, active)
+    place_of_choice = active.route.tiers.index(choice.model)
+    for model in reversed(active.route.tiers[:place_of_choice]):
+        smaller = tiers.Choice(model, True)
+        placed = place(state, stamp, active, smaller, servers)
+        if placed is not None and refusal.excess_ms(wanted, placed) <= 0:
+            return smaller, placed
+    return None
+
+
 def refuse_excess(
     state: gateway_state.State,
     stamp: events.Stamp,
     active: gateway_state.Active,
     placed: placement.Placed,
-) -> list[Any] | None:
-    """Refuses a request that would be late, None if it would not."""
-    excess_ms = refusal.excess_ms(asked(state, stamp, active), placed)
-    if excess_ms <= 0:
-        return None
+    excess_ms: float,
+) -> list[Any]:
+    """Refuses a request for which even the best server is too busy."""
     left_ms = active.deadline_ms - stamp.now_ms
     retry_ms = refusal.retry_after_ms(excess_ms, left_ms, stamp.seed)
     state.returns.refused(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
@@ -20,9 +20,11 @@
 #: Changes often come in groups; after one, the next watch starts this much
 #: later, so that it brings the others of the group at once.
 WATCH_PAUSE_MS = 150
-#: The list is read again after this time; it costs as much as a watch.
+#: Part of the list is read again after this time; it costs as much as a
+#: watch.
 RELIST_INTERVAL_MS = 8_000
-LIST_TIMEOUT_MS = 2_000
+#: A large configuration takes seconds over a slow link.
+LIST_TIMEOUT_MS = 4_000
 FIRST_RETRY_MS = 200
 MAX_RETRY_MS = 1_000
 
@@ -33,15 +35,24 @@
     Args:
       calls: Makes the calls.
       prefix: The prefix.
+      relist_prefix: Part of it that is listed again now and then.
 
     Attributes:
+      store_heard_ms: When the store itself last told.
       revision: Store revision up to which all is known, 0 for nothing.
       changed_revision: Revision of the last change that was seen.
       heard_ms: When the store or another gateway last told.
     """
 
-    def __init__(self, calls: operations.Operations, prefix: str) -> None:
+    def __init__(
+        self,
+        calls: operations.Operations,
+        prefix: str,
+        relist_prefix: str = '',
+    ) -> None:
         self.prefix = prefix
+        self._relist_prefix = relist_prefix or prefix
+        self.store_heard_ms = 0
         self.revision = 0
         self.changed_revision = 0
         self.heard_ms = 0
@@ -50,6 +61,7 @@
         self._owner = f'following {prefix}'
         self._generation = 0
         self._calling = False
+        self._must_list = True
         self._list_deadline_ms = 0
         self._call_deadline_ms = 0
         self._retry_ms = FIRST_RETRY_MS
@@ -83,8 +95,9 @@
         self._calling = True
         self._generation += 1
         call: platform.Call
-        if stamp.now_ms >= self._list_deadline_ms:
-            call = platform.List(self.prefix)
+        if self._must_list or stamp.now_ms >= self._list_deadline_ms:
+            whole = self._must_list
+            call = platform.List(self.prefix if whole else self._relist_prefix)
             limit_ms = LIST_TIMEOUT_MS
         else:
             call = platform.WatchPrefix(self.prefix, self.revision, WATCH_MS)
@@ -143,11 +156,15 @@
             return []
         self._retry_ms = FIRST_RETRY_MS
         self._call_deadline_ms = stamp.now_ms
+        self.store_heard_ms = stamp.now_ms
         if isinstance(result, platform.Compacted):
-            self._list_deadline_ms = 0
+            self._must_list = True
             return []
         if isinstance(result, platform.Listed):
             self._list_deadline_ms = stamp.now_ms + RELIST_INTERVAL_MS
+            if result.prefix != self.prefix:
+                return self._take_part(stamp, result)
+            self._must_list = False
             if result.revision < self.revision:
                 # Another gateway told of a newer state meanwhile.
                 return []
@@ -181,6 +198,36 @@
             notices.PrefixChanged(self.prefix, written, deleted, second_hand)
         ]
 
+    def _take_part(
+        self, stamp: events.Stamp, listed: platform.Listed
+    ) -> list[Any]:
+        """Takes a list of part of the keys; the watch goes on as it was."""
+        self.heard_ms = stamp.now_ms
+        found_by_key = {found.key: found for found in listed.found}
+        written = []
+        deleted = []
+        for found in listed.found:
+            held = self._found_by_key.get(found.key)
+            if held is None or held.revision < found.revision:
+                self._found_by_key[found.key] = found
+                written.append(found)
+        for key, held in list(self._found_by_key.items()):
+            gone = key.startswith(listed.prefix) and key not in found_by_key
+            if gone and held.revision <= listed.revision:
+                del self._found_by_key[key]
+                deleted.append(key)
+        if not written and not deleted:
+            return []
+        return [
+            notices.PrefixChanged(
+                self.prefix, tuple(written), tuple(deleted), False
+            )
+        ]
+
+    def confirm(self, heard_ms: int) -> None:
+        """Takes note that another gateway knows of nothing newer."""
+        self.heard_ms = max(self.heard_ms, heard_ms)
+
     def _take_changes(
         self, stamp: events.Stamp, changes: platform.Changes
     ) -> list[Any]:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -15,6 +15,7 @@
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import events
 from ragwortgw_gateway import fleet
+from ragwortgw_gateway import following
 from ragwortgw_gateway import formats as store_formats
 from ragwortgw_gateway import gateway_state
 from ragwortgw_gateway import notices
@@ -50,7 +51,13 @@
 DIGEST_FANOUT = 12
 #: Another gateway's news is fetched if the store has not told it by then.
 FETCH_PATIENCE_MS = 400
-FETCH_INTERVAL_MS = 500
+FETCH_INTERVAL_MS = 300
+#: Gateways that follow the store by themselves; the loss of two of them at
+#: once leaves one that tells the others.
+WATCHERS = 3
+#: A gateway to which the store has told nothing for longer than a watch
+#: lasts does not count as one of them.
+FRESH_MS = following.WATCH_MS + 1_000
 #: Deletions this long after an outage may be registrations that lapsed.
 RETURN_MS = 2_500
 
@@ -185,7 +192,7 @@
     if not state.started_ms:
         state.started_ms = stamp.now_ms
     ticked = state.link.on_tick(stamp)
-    ticked += state.values.on_tick(stamp)
+    ticked += _follow(state, stamp)
     ticked += state.operations.on_tick(stamp)
     outputs = gateway_state.apply_notices(state, stamp, ticked)
     outputs += attempts.forget_servers(
@@ -200,6 +207,25 @@
     return outputs
 
 
+def _follow(state: State, stamp: core_events.Stamp) -> list[Any]:
+    """Follows the store, or leaves that to others.
+
+    A call to the store is paid for; what a few gateways hear from it, they
+    tell the others within a fraction of a second.
+    """
+    if not state.link.reachable:
+        return []
+    mine = routes.share_of(state.host_id)
+    before_me = 0
+    for host_id, peer in state.peers_by_id.items():
+        age_ms = peer.digest.store_age_ms + stamp.now_ms - peer.heard_ms
+        if age_ms < FRESH_MS and routes.share_of(host_id) < mine:
+            before_me += 1
+    if before_me >= WATCHERS:
+        return []
+    return state.values.on_tick(stamp)
+
+
 @REDUCER.handles(core_events.PlatformAnswered)
 def on_platform(
     state: State, stamp: core_events.Stamp, event: core_events.PlatformAnswered
@@ -209,7 +235,7 @@
         state.link.failed(stamp)
     else:
         # The next watch starts at once, not at the next tick.
-        outputs += state.values.on_tick(stamp)
+        outputs += _follow(state, stamp)
     applied = gateway_state.apply_notices(state, stamp, outputs)
     return [*applied, *_admit_held(state, stamp)]
 
@@ -229,6 +255,8 @@
     state.peer_addresses_by_id[digest.sender] = digest.address
     state.loads.heard(digest.sender, digest.loads_by_server, stamp.now_ms)
     state.crashes.heard(digest.crashes, stamp.now_ms)
+    if digest.revision <= state.values.revision:
+        state.values.confirm(stamp.now_ms - digest.store_age_ms)
     for read in digest.reads:
         _note_read(state, read)
     return []
@@ -303,6 +331,9 @@
     state: State, stamp: core_events.Stamp, notice: notices.PrefixChanged
 ) -> list[Any]:
     formats = state.formats
+    if not notice.second_hand:
+        state.news = True
+        state.digest_deadline_ms = stamp.now_ms
     for found in notice.written:
         state.rollouts.status_seen(found)
     return [
@@ -494,7 +525,9 @@
     addresses = sorted(known - {state.digest_address})
     if not addresses:
         return []
-    count = min(len(addresses), DIGEST_FANOUT)
+    count = len(addresses) if state.news else DIGEST_FANOUT
+    count = min(len(addresses), count)
+    state.news = False
     first = state.next_digest * count
     state.next_digest += 1
     chosen = tuple(
@@ -512,6 +545,7 @@
         state.digest_address,
         state.stopping,
         state.values.changed_revision,
+        now_ms - state.values.store_heard_ms,
         state.loads.own(),
         state.suspects.own(now_ms),
         state.crashes.own(now_ms),
@@ -532,7 +566,9 @@
         state.behind_since_ms = 0
         return []
     state.behind_since_ms = state.behind_since_ms or stamp.now_ms
-    patience_ms = FETCH_PATIENCE_MS if revision else 0
+    patience_ms = 0
+    if revision and stamp.now_ms - state.values.store_heard_ms < FRESH_MS:
+        patience_ms = FETCH_PATIENCE_MS
     due_ms = max(state.behind_since_ms + patience_ms, state.fetch_deadline_ms)
     if stamp.now_ms < due_ms:
         return []
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -207,7 +207,9 @@
             {'address': digest_address, 'incarnation': incarnation},
             incarnation,
         )
-        self.values = following.FollowedPrefix(self.operations, '')
+        self.values = following.FollowedPrefix(
+            self.operations, '', formats.server_prefix
+        )
         self.configuration: documents.Configuration | None = None
         self.table: routes.RouteTable | None = None
         self.fleet = fleet.Fleet()
@@ -238,6 +240,8 @@
         self.peer_addresses_by_id: dict[str, str] = {}
         self.heard_ms_by_server: dict[str, int] = {}
         self.behind_since_ms = 0
+        #: Whether the store told something that others may not know yet.
+        self.news = False
         self.started_ms = 0
         self.next_attempt = 0
         self.next_digest = 0
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/refusal.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/refusal.py
@@ -13,6 +13,8 @@
 ON_TIME_SHARES = (0.95, 0.8, 0.6)
 #: Share of the time left that a server may need for all that it has.
 FINISH_SHARE = 0.6
+#: A long prompt may find a server this much busier than its own work.
+ALONE_FACTOR = 1.25
 #: When a caller may come back where no server is there to serve it.
 NO_SERVER_WAIT_MS = 700.0
 #: When a caller may come back where all servers turned it away.
@@ -62,14 +64,14 @@
       placed: The best server for it.
     Returns: Time until it would have room, 0 or less if it has.
     """
-    latest = _latest(asked)
+    latest = _latest(asked, placed)
     busy_ms = placed.backlog_ms + placed.work_ms
     return max(placed.first_ms - latest.first_ms, busy_ms - latest.finish_ms)
 
 
 def pressure(asked: Asked, placed: placement.Placed) -> float:
     """Returns how near the best server is to being too busy, 1 at it."""
-    latest = _latest(asked)
+    latest = _latest(asked, placed)
     busy_ms = placed.backlog_ms + placed.work_ms
     return max(
         placed.first_ms / max(1.0, latest.first_ms),
@@ -77,14 +79,22 @@
     )
 
 
-def _latest(asked: Asked) -> _Latest:
+def _latest(asked: Asked, placed: placement.Placed) -> _Latest:
+    """Returns the bounds of a request.
+
+    A prompt so long that even an idle server could not answer it in time
+    is served late rather than never.
+    """
     share = ON_TIME_SHARES[min(asked.rank, len(ON_TIME_SHARES) - 1)]
     if asked.returned:
         share = ON_TIME_SHARES[0]
-    finish_ms = min(asked.finish_ms, asked.left_ms) * FINISH_SHARE
-    return _Latest(
-        min(asked.objective_ms, asked.left_ms) * share, finish_ms * share
-    )
+    first_ms = min(asked.objective_ms, asked.left_ms) * share
+    finish_ms = min(asked.finish_ms, asked.left_ms) * FINISH_SHARE * share
+    alone_ms = placed.prompt_ms * ALONE_FACTOR
+    if alone_ms < asked.left_ms * FINISH_SHARE:
+        first_ms = max(first_ms, alone_ms)
+        finish_ms = max(finish_ms, placed.work_ms * ALONE_FACTOR)
+    return _Latest(first_ms, finish_ms)
 
 
 def retry_after_ms(wait_ms: float, left_ms: int, seed: int) -> int:
