Go on from the last event of a watch, not from the revision it names

Change: the next watch goes on from the last event, or, after an answer without events, from what the answer before that had named.

Ruled out: lists, offers and restarts, by the same test before.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/following.py
@@ -62,6 +62,8 @@
         self._generation = 0
         self._calling = False
         self._must_list = True
+        #: Revision named by the last answer, if that had no events.
+        self._named_revision = 0
         self._list_deadline_ms = 0
         self._call_deadline_ms = 0
         self._retry_ms = FIRST_RETRY_MS
@@ -183,6 +185,7 @@
     ) -> list[Any]:
         self.heard_ms = stamp.now_ms
         self.revision = listed.revision
+        self._named_revision = 0
         self.changed_revision = max(
             [self.changed_revision, *(each.revision for each in listed.found)]
         )
@@ -198,6 +201,23 @@
             notices.PrefixChanged(self.prefix, written, deleted, second_hand)
         ]
 
+    def _certain_revision(self, changes: platform.Changes) -> int:
+        """Returns the revision up to which a watch has certainly told all.
+
+        The revision that the answer names may belong to a change that was
+        made after its events were collected. So the next watch goes on
+        from the last event; without one, from what the answer before
+        named, since this watch began after it.
+        """
+        if changes.changes:
+            self._named_revision = 0
+            return max(change.revision for change in changes.changes)
+        certain, self._named_revision = (
+            self._named_revision,
+            changes.revision,
+        )
+        return certain
+
     def _take_part(
         self, stamp: events.Stamp, listed: platform.Listed
     ) -> list[Any]:
@@ -232,7 +252,7 @@
         self, stamp: events.Stamp, changes: platform.Changes
     ) -> list[Any]:
         self.heard_ms = stamp.now_ms
-        self.revision = max(self.revision, changes.revision)
+        self.revision = max(self.revision, self._certain_revision(changes))
         written: dict[str, platform.Found] = {}
         deleted: dict[str, None] = {}
         for change in changes.changes:
--- a/packages/ragwortgw-gateway/tests/test_following_soak.py
+++ b/packages/ragwortgw-gateway/tests/test_following_soak.py
@@ -73,6 +73,10 @@
                 for change in self.store.changes
                 if change.revision > effect.call.revision
             )
+            if rng.random() < 0.3:
+                # The revision that an answer names may be that of a change
+                # which came after its events were collected.
+                self.store.change(rng)
             if changes and rng.random() < 0.1:
                 result = platform.Compacted('')
             else:
