Give no attempt up for silence unless another one may follow

Change: an attempt is left for silence only if attempts and budget allow another one; silence begins at 1.8 s.

test_last_attempt_is_not_given_up_for_silence and ..._without_budget fail without it.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/patience.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/patience.py
@@ -14,14 +14,16 @@
 from ragwortgw_gateway import refusal
 
 #: A server from which nothing at all came for this long, though requests
-#: run there, is silent; long prompts delay all others, so that the time
-#: which the known prompts there take is allowed for twice.
-SERVER_SILENCE_MS = 1_200
+#: run there, is silent. While it reads a long prompt, each token of the
+#: others waits for a chunk of it, a quarter of a second on a large model,
+#: and an event has several; the time that the known prompts there take is
+#: allowed for twice besides.
+SERVER_SILENCE_MS = 1_800
 PENDING_FACTOR = 2.0
 #: An answer that has not begun after this many times the expected time,
 #: and this much more, is lost.
 LOST_FACTOR = 4.0
-LOST_SPARE_MS = 1_200
+LOST_SPARE_MS = 1_800
 #: A plain request is sent to a second server after this many times the
 #: expected time, and this much more.
 HEDGE_FACTOR = 3.0
@@ -72,7 +74,10 @@
     active: gateway_state.Active,
 ) -> list[Any]:
     outputs: list[Any] = []
+    elsewhere = _may_go_elsewhere(state, stamp, active)
     for attempt in list(active.attempts_by_id.values()):
+        if not elsewhere:
+            continue
         if _server_silent(state, stamp, attempt) or _answer_lost(
             stamp, active, attempt
         ):
@@ -82,6 +87,21 @@
     return outputs
 
 
+def _may_go_elsewhere(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+) -> bool:
+    """Tells whether giving an attempt up leaves the request another one.
+
+    Without another one, a silent server may still answer.
+    """
+    if active.runs + len(active.attempts_by_id) >= active.route.max_attempts:
+        return False
+    left = state.budget.left(active.service, state.gateways, stamp.now_ms)
+    return left >= 1
+
+
 def _server_silent(
     state: gateway_state.State,
     stamp: events.Stamp,
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -381,6 +381,25 @@
             self.driver.tick(50)
             self.assertLess(self.driver.now_ms, gateways.START_MS + 4_000)
 
+    def test_last_attempt_is_not_given_up_for_silence(self):
+        dispatch = self.first
+        for _ in range(2):
+            self.driver.answered(dispatch, confidence=90)
+            self.driver.broke(dispatch, 'reset', 'unknown', last_event=1)
+            dispatch = self.driver.sent()
+        self.driver.answered(dispatch, confidence=90)
+        while self.driver.now_ms < gateways.START_MS + 9_900:
+            self.driver.tick(50)
+            self.assertEqual([], self.driver.of(effects.Abandon))
+
+    def test_attempt_is_not_given_up_for_silence_without_budget(self):
+        while self.driver.state.budget.spend('proofs', 1, self.driver.now_ms):
+            pass
+        self.driver.answered(self.first, confidence=90)
+        for _ in range(100):
+            self.driver.tick(50)
+            self.assertEqual([], self.driver.of(effects.Abandon))
+
     def test_server_that_is_heard_is_not_silent(self):
         self.driver.answered(self.first, confidence=90)
         for _ in range(40):
