Take out what no gateway reads of a digest; one copy of four pieces

Cause: read over the whole change. LoadBook.own_running(), HANDLER_MODULES of the gateway and a factor of 1.0 had no use either.

Change: these are gone. A request's end with what is at hand, its way on after a refusal, the evidence on an arm of a roll-out, and the memory of a service's servers stood two or three times and stand once now. No decision, bound or test changes.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -116,7 +116,6 @@
         return []
     attempt = dispatching.drop_attempt(state, active, event.attempt_id)
     assert attempt is not None
-    active.refusals += 1
     active.avoid.add(attempt.server.id)
     outputs: list[Any] = []
     if event.other_server:
@@ -130,12 +129,7 @@
             attempt.server.id, active.service, 'full', stamp.now_ms
         )
     outputs.append(_record_broken(active, attempt, stamp, 'no'))
-    if active.refusals >= dispatching.MAX_REFUSALS:
-        return [
-            *outputs,
-            *dispatching.give_up(state, stamp, active, None),
-        ]
-    return [*outputs, *dispatching.dispatch(state, stamp, active)]
+    return [*outputs, *_try_elsewhere(state, stamp, active)]
 
 
 @REDUCER.handles(events.AttemptBroke)
@@ -156,13 +150,7 @@
     outputs = suspect(state, stamp, active, attempt, event.reason)
     outputs.append(_record_broken(active, attempt, stamp, event.ran))
     if event.ran == 'no':
-        active.refusals += 1
-        if active.refusals >= dispatching.MAX_REFUSALS:
-            return [
-                *outputs,
-                *dispatching.give_up(state, stamp, active, None),
-            ]
-        return [*outputs, *dispatching.dispatch(state, stamp, active)]
+        return [*outputs, *_try_elsewhere(state, stamp, active)]
     active.runs += 1
     if event.reason == 'reset' and not attempt.answered_ms:
         state.crashes.broke(
@@ -176,6 +164,18 @@
     return [*outputs, *dispatching.dispatch(state, stamp, active)]
 
 
+def _try_elsewhere(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    active: gateway_state.Active,
+) -> list[Any]:
+    """Sends on a request that a server certainly did not run."""
+    active.refusals += 1
+    if active.refusals >= dispatching.MAX_REFUSALS:
+        return dispatching.give_up(state, stamp, active, None)
+    return dispatching.dispatch(state, stamp, active)
+
+
 def _on_failure_answer(
     state: gateway_state.State,
     stamp: core_events.Stamp,
@@ -213,7 +213,6 @@
     )
     if not verdict.until_ms:
         return []
-    state.digest_deadline_ms = stamp.now_ms
     fields = {
         'server': server.id,
         'reason': verdict.reason,
@@ -251,16 +250,7 @@
     log_ratio = state.pace.observe_server(
         attempt.server.id, placed.first_ms, measured_ms, stamp.now_ms
     )
-    if attempt.candidate is None:
-        return
-    if attempt.candidate:
-        dispatching.note_rollout(
-            state, active, candidate_slowness=log_ratio, candidate_timed=1
-        )
-    else:
-        dispatching.note_rollout(
-            state, active, baseline_slowness=log_ratio, baseline_timed=1
-        )
+    _note_arm(state, active, attempt, slowness=log_ratio, timed=1)
 
 
 def note_version(
@@ -270,22 +260,21 @@
     failed: bool,
 ) -> None:
     """Counts the outcome of an attempt for its version."""
+    _note_arm(state, active, attempt, requests=1, failures=int(failed))
+
+
+def _note_arm(
+    state: gateway_state.State,
+    active: gateway_state.Active,
+    attempt: gateway_state.Attempt,
+    **amounts: float,
+) -> None:
+    """Adds to the evidence on the version that an attempt went to."""
     if attempt.candidate is None:
         return
-    if attempt.candidate:
-        dispatching.note_rollout(
-            state,
-            active,
-            candidate_requests=1,
-            candidate_failures=int(failed),
-        )
-    else:
-        dispatching.note_rollout(
-            state,
-            active,
-            baseline_requests=1,
-            baseline_failures=int(failed),
-        )
+    arm = 'candidate' if attempt.candidate else 'baseline'
+    named = {f'{arm}_{name}': amount for name, amount in amounts.items()}
+    dispatching.note_rollout(state, active, **named)
 
 
 def forget_servers(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -108,8 +108,6 @@
       revision: Store revision of the last change that it has seen.
       store_age_ms: Time since the store itself told it anything.
       loads_by_server: Its work by backend server; idle ones are left out.
-      suspended_ms_by_server: Servers that it keeps away from, and how
-        long still.
       crashes: Crashes of the last minute that it saw itself.
       evidence_by_service: Roll-outs under way.
       reads: Prompts that it sent of late.
@@ -123,7 +121,6 @@
     revision: int
     store_age_ms: int
     loads_by_server: dict[str, ServerLoad]
-    suspended_ms_by_server: dict[str, int]
     crashes: tuple[Crash, ...]
     evidence_by_service: dict[str, RolloutEvidence]
     reads: tuple[Read, ...] = ()
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -243,13 +243,12 @@
     servers: list[documents.BackendServer],
 ) -> placement.Placed | None:
     """Chooses the server of the next attempt."""
-    service = state.service(active.service)
     return state.placement.choose(
         active.request,
         '' if choice is None else choice.model,
         servers,
         active.avoid,
-        0 if service is None else service.cache_tokens,
+        state.cache_tokens(active.service),
         stamp.now_ms,
         stamp.seed,
     )
@@ -279,12 +278,11 @@
     tokens = 0
     if request.prompt is not None and attempt.model:
         tokens = request.prompt.tokens + request.prompt.output_tokens
-        service = state.service(active.service)
         state.prefixes.read(
             server.id,
             attempt.model,
             request.prompt.parts,
-            0 if service is None else service.cache_tokens,
+            state.cache_tokens(active.service),
         )
         state.prefixes.tell(
             server.id, attempt.model, request.prompt.parts, stamp.now_ms
@@ -311,7 +309,7 @@
                 'running_there': load.running,
                 'pending_there_ms': round(load.pending_ms),
                 'work_there_ms': round(load.work_ms),
-                'configuration': _version(state),
+                'configuration': state.version,
                 'registry_age_ms': stamp.now_ms - state.values.heard_ms,
                 'left_ms': active.deadline_ms - stamp.now_ms,
             },
@@ -399,16 +397,9 @@
     """
     if active.attempts_by_id:
         return []
-    if active.streaming:
-        return [
-            effects.CutStream(active.request.id),
-            *end(state, stamp, active, 'stream-cut'),
-        ]
-    if active.held is not None:
-        return [
-            effects.Respond(active.request.id, active.held),
-            *end(state, stamp, active, 'failed-by-server'),
-        ]
+    at_hand = end_with_answer_at_hand(state, stamp, active)
+    if at_hand is not None:
+        return at_hand
     if active.runs:
         failure = errors.BackendFailed(
             active.last_failure or active.service, 'unknown', None
@@ -422,6 +413,28 @@
     return refuse(state, stamp, active, failure)
 
 
+def end_with_answer_at_hand(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.Active,
+) -> list[Any] | None:
+    """Ends a request of which the caller has part, or a server's failure.
+
+    Returns: Effects; None if there is neither.
+    """
+    if active.streaming:
+        return [
+            effects.CutStream(active.request.id),
+            *end(state, stamp, active, 'stream-cut'),
+        ]
+    if active.held is not None:
+        return [
+            effects.Respond(active.request.id, active.held),
+            *end(state, stamp, active, 'failed-by-server'),
+        ]
+    return None
+
+
 def refuse(
     state: gateway_state.State,
     stamp: events.Stamp,
@@ -489,9 +502,3 @@
     track = state.rollouts.tracks_by_service.get(active.service)
     if track is not None and not track.final:
         track.evidence.add(**amounts)
-
-
-def _version(state: gateway_state.State) -> int:
-    if state.configuration is None:
-        return 0
-    return state.configuration.version
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -61,8 +61,6 @@
 #: Deletions this long after an outage may be registrations that lapsed.
 RETURN_MS = 2_500
 
-HANDLER_MODULES = (attempts,)
-
 
 def new_gateway(
     host_id: str,
@@ -267,8 +265,7 @@
     server = state.fleet.servers_by_id.get(read.server)
     if server is None:
         return
-    service = state.service(server.service)
-    cache_tokens = 0 if service is None else service.cache_tokens
+    cache_tokens = state.cache_tokens(server.service)
     state.prefixes.read(read.server, read.model, read.parts, cache_tokens)
 
 
@@ -309,9 +306,7 @@
     state: State, stamp: core_events.Stamp, notice: notices.StoreLost
 ) -> list[Any]:
     fields = {
-        'configuration': (
-            0 if state.configuration is None else state.configuration.version
-        ),
+        'configuration': state.version,
         'servers': len(state.fleet.servers_by_id),
     }
     return [core_effects.Record('store-lost', fields)]
@@ -547,7 +542,6 @@
         state.values.changed_revision,
         now_ms - state.values.store_heard_ms,
         state.loads.own(),
-        state.suspects.own(now_ms),
         state.crashes.own(now_ms),
         state.rollouts.evidence(now_ms),
         state.prefixes.told(now_ms),
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -266,6 +266,18 @@
             and self.values.revision > 0
         )
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration held, 0 for none."""
+        if self.configuration is None:
+            return 0
+        return self.configuration.version
+
+    def cache_tokens(self, service_id: str) -> int:
+        """Returns the memory of one server in tokens, 0 if not known."""
+        service = self.service(service_id)
+        return 0 if service is None else service.cache_tokens
+
     def service(self, service_id: str) -> documents.Service | None:
         """Returns a service by its id."""
         if self.configuration is None:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/loads.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/loads.py
@@ -123,10 +123,6 @@
         others = self._others_by_server.get(server_id)
         return own if others is None else _sum(own, others)
 
-    def own_running(self, server_id: str) -> int:
-        """Returns how many attempts of this gateway run at a server."""
-        return self._own_by_server.get(server_id, IDLE).running
-
     def running(self, server_ids: Iterable[str]) -> int:
         """Returns how many requests run at some servers together."""
         return sum(self.at(server_id).running for server_id in server_ids)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/patience.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/patience.py
@@ -51,16 +51,9 @@
     active: gateway_state.Active,
 ) -> list[Any]:
     """Gives a request its final answer at its deadline."""
-    if active.streaming:
-        return [
-            effects.CutStream(active.request.id),
-            *dispatching.end(state, stamp, active, 'stream-cut'),
-        ]
-    if active.held is not None:
-        return [
-            effects.Respond(active.request.id, active.held),
-            *dispatching.end(state, stamp, active, 'failed-by-server'),
-        ]
+    at_hand = dispatching.end_with_answer_at_hand(state, stamp, active)
+    if at_hand is not None:
+        return at_hand
     if not active.runs and not active.attempts_by_id:
         failure: Any = errors.Overloaded(refusal.MIN_RETRY_MS)
     else:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
@@ -23,8 +23,6 @@
 RUNNING_MS = 2.0
 #: What the whole work of a server counts, besides the prompts ahead.
 BACKLOG_WEIGHT = 0.25
-#: Share of a server's slots from which further requests wait.
-FULL_SHARE = 1.0
 #: What a server in another availability zone costs, in ms of a score:
 #: bytes between zones are paid for, and the way is longer.
 ZONE_MS = 4.0
@@ -147,7 +145,7 @@
             needed = load.tokens + prompt.tokens + prompt.output_tokens
             if cache_tokens and needed > cache_tokens * MEMORY_SHARE:
                 score += expected.first_ms + load.pending_ms + FAILURE_MS
-            if load.running >= server.slots * FULL_SHARE:
+            if load.running >= server.slots:
                 score += load.running * RUNNING_MS * 4
             score += ((seed >> position) & 1) * 0.5
             if best is None or score < best_score:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/suspicion.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/suspicion.py
@@ -112,11 +112,6 @@
             return self._suspend(record, now_ms, trouble)
         return NOTHING
 
-    def heard(self, server_id: str, left_ms: int, now_ms: int) -> None:
-        """Takes the suspicion of another gateway, as a hint."""
-        record = self._record(server_id)
-        record.until_ms = max(record.until_ms, now_ms + left_ms)
-
     def suspended(self, server_id: str, now_ms: int) -> bool:
         """Tells whether a server gets no new work."""
         record = self._records_by_server.get(server_id)
@@ -130,14 +125,6 @@
         usual = self._usual_by_service.get(service, 0.0)
         return max(0.0, record.failures - usual)
 
-    def own(self, now_ms: int) -> dict[str, int]:
-        """Returns how long each suspended server stays so, in ms."""
-        return {
-            server_id: record.until_ms - now_ms
-            for server_id, record in self._records_by_server.items()
-            if record.until_ms > now_ms
-        }
-
     def forget(self, server_id: str) -> None:
         """Forgets a server that is gone or started anew."""
         self._records_by_server.pop(server_id, None)
