--- a/packages/ragwortgw-fakes/ragwortgw_fakes/http.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/http.py
@@ -14,6 +14,8 @@
 import h11
 import msgspec
 
+from ragwortgw_fakes import ports
+
 Headers = tuple[tuple[str, str], ...]
 
 LOG = logging.getLogger(__name__)
@@ -244,6 +246,8 @@
         self.accepting = True
         self.address = ''
         self._server: asyncio.Server | None = None
+        #: Keeps the port from other processes while nothing listens there.
+        self._reservation: socket.socket | None = None
 
     async def __aenter__(self) -> 'Server':
         return self
@@ -258,6 +262,9 @@
           address: 'ip:port'; port 0 takes a free one.
         """
         host, _, port = address.rpartition(':')
+        if self._reservation is None:
+            self._reservation = ports.reserve(host, int(port))
+            port = self._reservation.getsockname()[1]
         self._server = await asyncio.get_running_loop().create_server(
             lambda: Connection(self),
             host,
@@ -287,5 +294,8 @@
     async def close(self) -> None:
         """Stops listening and closes every connection."""
         self.refuse()
+        if self._reservation is not None:
+            self._reservation.close()
+            self._reservation = None
         self.reset_all()
         await asyncio.sleep(0)
