Queue requests until the entry holds an agent's newer configuration

Cause: an agent that holds a newer configuration refuses an attempt, and the entry asked the other agents, which had learned of it at about the same time, until none was left; the notices that record_report returned were dropped. Change: the refused attempt does not count, and the request waits until the entry holds that revision. It is planned again then, and refused if the new configuration forbids it or does not arrive before the store's staleness bound. Result: three tests in test_entry_retries, which fail without the change.

--- a/packages/ragwortgw-core/ragwortgw_core/entry.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry.py
@@ -102,6 +102,7 @@
     outputs = entry_state.apply_notices(state, stamp, tick_outputs)
     outputs += report_staleness(state, stamp)
     outputs += expire_requests(state, stamp)
+    outputs += entry_dispatch.recheck_waiting(state, stamp)
     outputs += entry_dispatch.dispatch_queued(state, stamp)
     return [*outputs, *exit_when_idle(state, stamp)]
 
@@ -178,6 +179,7 @@
         if agent.revision < notice.new_revision
     ]
     outputs += entry_agents.send_differences(state, outdated_agents)
+    outputs += entry_dispatch.recheck_waiting(state, stamp)
     return [*outputs, *entry_dispatch.dispatch_queued(state, stamp)]
 
 
--- a/packages/ragwortgw-core/ragwortgw_core/entry_attempts.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry_attempts.py
@@ -152,10 +152,7 @@
     if isinstance(failure, errors.DuplicateAttempt):
         return fail_request(state, stamp, active, 'unknown', 'duplicate')
     if isinstance(failure, errors.ConfigurationNewer):
-        outputs = state.store.record_report(
-            stamp, active.agent_id, failure.revision, 0
-        )
-        entry_state.apply_notices(state, stamp, outputs)
+        return wait_for_configuration(state, stamp, active, failure)
     if isinstance(failure, errors.RequestSuspected):
         return entry_dispatch.refuse_unexecuted(state, stamp, active, failure)
     return retry_elsewhere(state, stamp, active, failure)
@@ -237,6 +234,37 @@
     return [*outputs, *entry_dispatch.enqueue(state, stamp, active)]
 
 
+def wait_for_configuration(
+    state: entry_state.State,
+    stamp: events.Stamp,
+    active: entry_state.ActiveRequest,
+    failure: Any,
+) -> list[Any]:
+    """Queues a request until the entry holds an agent's newer configuration.
+
+    Agents learn of a configuration within moments of each other. Other
+    agents would refuse the request as well, until none is left to ask.
+
+    Args:
+      state: The entry's state.
+      stamp: Time and randomness of the event.
+      active: The request, whose attempt has ended.
+      failure: The refusal, an errors.ConfigurationNewer.
+    Returns: The effects.
+    """
+    outputs = state.store.record_report(
+        stamp, active.agent_id, failure.revision, 0
+    )
+    active.attempts -= 1
+    active.refusals += 1
+    active.needed_revision = max(active.needed_revision, failure.revision)
+    return [
+        effects.Count('entry_refused_attempts', (('failure', failure.slug),)),
+        *entry_state.apply_notices(state, stamp, outputs),
+        *entry_dispatch.requeue(state, stamp, active, failure),
+    ]
+
+
 def retry_elsewhere(
     state: entry_state.State,
     stamp: events.Stamp,
--- a/packages/ragwortgw-core/ragwortgw_core/entry_dispatch.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry_dispatch.py
@@ -126,6 +126,28 @@
     return dispatch_queued(state, stamp)
 
 
+def recheck_waiting(
+    state: entry_state.State, stamp: events.Stamp
+) -> list[Any]:
+    """Plans queued requests that waited for a newer configuration.
+
+    They are refused if it did not arrive in time, or does not permit them.
+    """
+    outputs: list[Any] = []
+    waiting = [
+        active
+        for active in state.requests_by_id.values()
+        if active.needed_revision and active.phase == 'queued'
+    ]
+    for active in waiting:
+        failure = plan_request(state, stamp, active)
+        if failure is not None:
+            outputs += refuse_unexecuted(state, stamp, active, failure)
+        elif active.needed_revision <= state.store.revision:
+            active.needed_revision = 0
+    return outputs
+
+
 def plan_request(
     state: entry_state.State,
     stamp: events.Stamp,
@@ -138,11 +160,13 @@
       stamp: Time and randomness of the event.
       active: The request.
     Returns: The failure if no agent can serve the present stage, else
-      None.
+      None. A request that waits for a newer configuration is not planned.
     """
     snapshot = state.store.snapshot
     if snapshot is None:
         return errors.ConfigurationMissing(RETRY_AFTER_MS)
+    if active.needed_revision > snapshot.revision:
+        return state.store.check(stamp, len(state.membership.member_ids()))
     if active.cascade is not None and active.plan is None:
         active.plan = entry_selection.plan_stages(
             state, stamp, active, snapshot
--- a/packages/ragwortgw-core/ragwortgw_core/entry_selection.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry_selection.py
@@ -114,7 +114,7 @@
       has a free slot now.
     """
     snapshot = state.store.snapshot
-    if snapshot is None:
+    if snapshot is None or active.needed_revision > snapshot.revision:
         return None
     pinned = pin_version(state, snapshot, active, stamp)
     if pinned is None:
--- a/packages/ragwortgw-core/ragwortgw_core/entry_state.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry_state.py
@@ -139,7 +139,9 @@
     which may not be repeated, is still claimed or running. relaying is set
     once parts of a stream were sent to the caller. ran says whether any
     attempt was executed; stages holds the finished stages, stage_index is
-    that of the present stage in the plan.
+    that of the present stage in the plan. needed_revision is the revision
+    of an agent that refused an attempt because its configuration is newer;
+    no attempt is made before the entry holds that revision.
     """
 
     __slots__ = (
@@ -167,6 +169,7 @@
         'resume_offset',
         'detached',
         'avoid_until_ms_by_agent',
+        'needed_revision',
         'received_at_ms',
         'attempt_at_ms',
         'item',
@@ -206,6 +209,7 @@
         self.resume_offset = 0
         self.detached = False
         self.avoid_until_ms_by_agent: dict[str, int] = {}
+        self.needed_revision = 0
         self.received_at_ms = now_ms
         self.attempt_at_ms = 0
         self.item: queueing.Item | None = None
--- a/packages/ragwortgw-core/tests/test_entry_retries.py
+++ b/packages/ragwortgw-core/tests/test_entry_retries.py
@@ -5,6 +5,7 @@
 from ragwortgw_core import cascades
 from ragwortgw_core import effects
 from ragwortgw_core import entry
+from ragwortgw_core import entry_state
 from ragwortgw_core import errors
 from ragwortgw_core import events
 from ragwortgw_core import platform
@@ -56,9 +57,19 @@
                 'priority': 'interactive',
             },
         }
-        head, values = test_config_store.head_of(1, documents)
-        stamp = events.Stamp(START_MS, 1)
-        self.state.store.offer(stamp, head, values, START_MS)
+        self.documents = documents
+        self.install(1)
+
+    def install(self, revision, documents=None, now_ms=0):
+        """Installs a configuration; returns the effects."""
+        head, values = test_config_store.head_of(
+            revision, documents or self.documents
+        )
+        stamp = events.Stamp(START_MS + now_ms, 1)
+        outputs = self.state.store.offer(
+            stamp, head, values, START_MS + now_ms
+        )
+        return entry_state.apply_notices(self.state, stamp, outputs)
 
     def reduce(self, event, now_ms=0):
         stamp = events.Stamp(START_MS + now_ms, 1)
@@ -140,6 +151,51 @@
             first.dispatch.attempt_id, second.dispatch.attempt_id
         )
 
+    def refuse_by_all_agents(self, revision):
+        """Has both agents refuse a request since they know a newer revision.
+
+        Returns: The effects of the last refusal.
+        """
+        self.connect('a', 'b')
+        emitted = self.reduce(events.RequestReceived(chat_request('inc-1')))
+        failure = errors.ConfigurationNewer(revision)
+        while attempts := self.attempts(emitted):
+            attempt_id = attempts[0].dispatch.attempt_id
+            emitted = self.reduce(
+                events.AttemptRefused(attempt_id, failure, revision)
+            )
+        return emitted
+
+    def test_request_waits_for_the_configuration_that_agents_know(self):
+        self.assertEqual([], self.refusals(self.refuse_by_all_agents(2)))
+        documents = {
+            **self.documents,
+            'version/m@1': test_configuration.version('m@1', 'withdrawn'),
+            'version/m@2': test_configuration.version('m@2'),
+        }
+        for agent_id in ('a', 'b'):
+            self.state.agents_by_id[agent_id].versions = ('m@1', 'm@2')
+        emitted = self.install(2, documents, now_ms=50)
+        (attempt,) = self.attempts(emitted)
+        self.assertEqual('m@2', attempt.dispatch.version)
+
+    def test_request_is_refused_if_the_new_configuration_forbids_it(self):
+        self.refuse_by_all_agents(2)
+        documents = {
+            **self.documents,
+            'version/m@1': test_configuration.version('m@1', 'withdrawn'),
+        }
+        (refusal,) = self.refusals(self.install(2, documents, now_ms=50))
+        self.assertTrue(refusal['type'].endswith(':withdrawn'))
+        self.assertEqual('no', refusal['ran'])
+
+    def test_request_is_refused_if_the_configuration_does_not_arrive(self):
+        self.refuse_by_all_agents(2)
+        self.assertEqual([], self.refusals(self.reduce(events.Tick(), 1_900)))
+        (refusal,) = self.refusals(self.reduce(events.Tick(), 2_100))
+        self.assertTrue(refusal['type'].endswith(':configuration-stale'))
+        self.assertEqual('no', refusal['ran'])
+
     def escalate(self):
         """Escalates a cascade to its second stage; returns its attempt."""
         self.connect('a')
