--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,3 +14,5 @@
 done
 rm -rf target/deps/ragwortgw_platform
 cp -r platform/ragwortgw_platform target/deps/
+# Processes may not write compiled modules here themselves.
+python3 -m compileall -q target/deps
--- a/packages/ragwortgw-core/ragwortgw_core/platform.py
+++ b/packages/ragwortgw-core/ragwortgw_core/platform.py
@@ -2,6 +2,12 @@
 
 The service keeps versioned values, with writes by compare-and-swap,
 watches and leases, and a list of hosts that lags behind.
+
+A service may be restored from an older copy of itself. It then loses what
+was written since, and gives the same revisions out again. Such a service
+counts its restores, in epochs. Clients put the epoch into the high bits of
+each revision: whatever was read in a later epoch is newer, and revisions
+of two epochs are never equal. The epoch of other services is 0.
 """
 
 from typing import NamedTuple
@@ -9,6 +15,28 @@
 
 #: Revision of an unconditional Put.
 ANY_REVISION = -1
+#: Bits of the service's own revision within a revision.
+REVISION_BITS = 40
+
+
+def revision_in_epoch(epoch: int, number: int) -> int:
+    """Returns the revision of a value of one epoch.
+
+    Args:
+      epoch: Number of times that the service was restored.
+      number: The service's own revision; 0, for no value, stays 0.
+    """
+    return (epoch << REVISION_BITS) + number if number else 0
+
+
+def epoch_of(revision: int) -> int:
+    """Returns the epoch in which a revision was read."""
+    return max(0, revision) >> REVISION_BITS
+
+
+def number_of(revision: int) -> int:
+    """Returns the service's own number of a revision."""
+    return revision & ((1 << REVISION_BITS) - 1) if revision > 0 else revision
 
 
 class Get(NamedTuple):
--- a/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_capacity.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_capacity.py
@@ -200,12 +200,15 @@
         NOW_MS + 10_000,
         1,
     )
-    known = state.fleet.available_servers('model')
+    known = state.fleet.available_servers('model', NOW_MS)
     assert len(known) == servers, (len(known), servers)
     service = state.service('model')
+    assert state.table is not None
+    route = state.table.match(request.host, request.path)
+    assert route is not None
     return time_us(
         lambda: state.server_selector.choose(
-            request, 'small', known, (), service, NOW_MS, 5
+            request, route, 'small', known, (), service, NOW_MS, 5
         )
     )
 
--- a/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_formats.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_formats.py
@@ -34,7 +34,8 @@
         self, found: platform.Found
     ) -> documents.RolloutOrder | None:
         """Reads an order of a roll-out; None if it is none."""
-        return _read(found, documents.RolloutOrder)
+        order = _read(found, documents.RolloutOrder)
+        return order and order._replace(revision=found.revision)
 
     def rollout_status_key(self, service: str) -> str:
         """Returns where operators read how far a roll-out is."""
@@ -55,5 +56,6 @@
 
 
 def make_found(key: str, value: Any, revision: int) -> platform.Found:
-    """Makes a value of the store."""
-    return platform.Found(key, msgspec.json.encode(value), revision)
+    """Makes a value of the store; bytes are taken as they are."""
+    data = value if isinstance(value, bytes) else msgspec.json.encode(value)
+    return platform.Found(key, data, revision)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/admission.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/admission.py
@@ -5,17 +5,19 @@
 so that they don't delay requests that can be answered in time.
 """
 
+import math
 from typing import NamedTuple
 
+from ragwortgw_gateway import batching
+from ragwortgw_gateway import latency_estimates
 from ragwortgw_gateway import placement
 
-#: Fraction of the objective that may pass until the answer begins, by rank.
-ON_TIME_FRACTIONS = (0.95, 0.8, 0.6)
-#: Fraction of the remaining time that a server may need for its backlog.
-FINISH_FRACTION = 0.6
-#: The limits of a long prompt are at least this many times the time that it
+#: The limit of a long prompt is at least this many times the time that it
 #: takes at an idle server.
 IDLE_FACTOR = 1.25
+#: Share of the time that more urgent requests are assumed to take at most:
+#: what a gateway knows of the others' requests is not exact.
+MAX_URGENT_SHARE = 0.6
 #: Retry-After, before jitter, if no server is available.
 NO_SERVER_WAIT_MS = 700.0
 #: Retry-After, before jitter, if all servers were full.
@@ -28,83 +30,110 @@
 
 
 class Requirements(NamedTuple):
-    """Time limits and priority of a request.
+    """Time limits of a request, and what delays it.
 
     Args:
-      rank: Its rank among the requests of its service, 0 is the most urgent.
       objective_ms: Time within which its answer has to begin; the shortest
         of all routes of the service that are at least as urgent.
-      finish_ms: Time within which its answer has to end; the shortest of
-        the same routes.
       remaining_ms: Time until its deadline.
-      is_retry: Whether the client retries after an earlier refusal.
+      urgent_share: Fraction of the servers' time that the prefill of more
+        urgent requests takes.
+      wait_factor: How much longer such requests lately waited than forecast.
+      needs: Streams of the service's routes that are at least as urgent.
     """
 
-    rank: int
     objective_ms: int
-    finish_ms: int
     remaining_ms: int
-    is_retry: bool
+    urgent_share: float = 0.0
+    wait_factor: float = 1.0
+    needs: tuple[batching.StreamNeed, ...] = ()
 
 
-class _Limits(NamedTuple):
-    """Longest acceptable times of an answer.
+class Pressure(NamedTuple):
+    """How much of the headroom of a request other work takes.
 
     Args:
-      first_byte_ms: Until its first byte.
-      finish_ms: Until the server has finished its backlog and the request.
+      value: 0 at an idle server, 1 where the request would just be in time,
+        more where it would be late or make others late.
+      reason: What takes most of it: the 'first byte' in time for the
+        objective, to 'begin' before the deadline, the 'end' or 'streams'.
+      wait_ms: Time until the pressure falls to 1, 0 if it is lower.
+      first_ms: Expected time to the first byte.
+      limit_ms: Time within which the first byte has to come.
+      begin_ms: As first_ms, by what such requests lately waited.
     """
 
-    first_byte_ms: float
-    finish_ms: float
+    value: float
+    reason: str
+    wait_ms: float
+    first_ms: float = 0.0
+    limit_ms: float = 0.0
+    begin_ms: float = 0.0
 
 
-def excess_ms(
+def pressure(
     requirements: Requirements, server_choice: placement.ServerChoice
-) -> float:
-    """Returns by how much the best server is too busy for a request.
+) -> Pressure:
+    """Returns how much of a request's headroom is taken by other work.
 
-    Less urgent requests are refused earlier, so that capacity remains for
-    urgent ones; a retry after a refusal gets the limits of rank 0.
+    Headroom is what a limit leaves beyond the request's own time at an idle
+    server, since that says nothing about how busy a server is: the pressure
+    on a long prompt at an idle server is 0.
 
     Args:
       requirements: The request.
       server_choice: The best server for it.
-    Returns: Time beyond the limits, 0 or less if the request is in time.
     """
-    limits = _limits(requirements, server_choice)
-    busy_ms = server_choice.backlog_ms + server_choice.work_ms
-    return max(
-        server_choice.first_byte_ms - limits.first_byte_ms,
-        busy_ms - limits.finish_ms,
+    forecast = server_choice.forecast
+    remaining_ms = float(requirements.remaining_ms)
+    first_limit_ms = min(requirements.objective_ms, remaining_ms)
+    # A prompt so long that even an idle server could not answer in time
+    # gets a wider limit, so that it is served late rather than never.
+    idle_first_ms = forecast.idle_first_byte_ms * IDLE_FACTOR
+    first_limit_ms = min(remaining_ms, max(first_limit_ms, idle_first_ms))
+    first_ms = forecast.first_byte_ms
+    first_ms += _overtaken_ms(requirements, forecast)
+    first = _used_headroom(
+        first_ms, forecast.idle_first_byte_ms, first_limit_ms
+    )
+    begin_ms = forecast.first_byte_ms
+    begin_ms += (requirements.wait_factor - 1) * forecast.wait_ms
+    begin = _used_headroom(begin_ms, forecast.idle_first_byte_ms, remaining_ms)
+    # The length of an answer is a guess, so that one which seems too long
+    # even for an idle server is given a try.
+    end_limit_ms = max(remaining_ms, forecast.idle_end_ms * IDLE_FACTOR)
+    end = _used_headroom(forecast.end_ms, forecast.idle_end_ms, end_limit_ms)
+    streams = batching.used_stream_headroom(requirements.needs)
+    wait_by_reason = {
+        'first byte': (first, first_ms - first_limit_ms),
+        'begin': (begin, begin_ms - remaining_ms),
+        'end': (end, forecast.end_ms - end_limit_ms),
+        'streams': (
+            streams,
+            latency_estimates.INTERVAL_WINDOW_MS * math.log(max(1.0, streams)),
+        ),
+    }
+    reason = max(wait_by_reason, key=lambda each: wait_by_reason[each][0])
+    value, wait_ms = wait_by_reason[reason]
+    return Pressure(
+        value,
+        reason,
+        max(0.0, wait_ms) if value > 1 else 0.0,
+        first_ms,
+        first_limit_ms,
+        begin_ms,
     )
 
 
-def pressure(
-    requirements: Requirements, server_choice: placement.ServerChoice
+def _overtaken_ms(
+    requirements: Requirements, forecast: batching.Forecast
 ) -> float:
-    """Returns how much of the headroom is taken by other work.
-
-    Headroom is what the limits leave beyond the request's own work, since
-    that says nothing about how busy a server is: the pressure on a long
-    prompt at an idle server is 0.
+    """Returns how much longer a wait takes for more urgent requests.
 
-    Args:
-      requirements: The request.
-      server_choice: The best server for it.
-    Returns: 0 at an idle server, 1 where the request would just be in
-      time, more where it would be late.
+    Those that arrive during the wait are served before it ends.
     """
-    limits = _limits(requirements, server_choice)
-    busy_ms = server_choice.backlog_ms + server_choice.work_ms
-    return max(
-        _used_headroom(
-            server_choice.first_byte_ms,
-            server_choice.prefill_ms,
-            limits.first_byte_ms,
-        ),
-        _used_headroom(busy_ms, server_choice.work_ms, limits.finish_ms),
-    )
+    share = min(MAX_URGENT_SHARE, requirements.urgent_share)
+    return forecast.wait_ms * share / (1 - share)
 
 
 def _used_headroom(
@@ -124,34 +153,6 @@
     return max(0.0, expected_ms - idle_ms) / headroom_ms
 
 
-def _limits(
-    requirements: Requirements, server_choice: placement.ServerChoice
-) -> _Limits:
-    """Returns the limits of a request.
-
-    A prompt so long that even an idle server could not answer it in time
-    gets wider limits, so that it is served late rather than never.
-    """
-    fraction = ON_TIME_FRACTIONS[
-        min(requirements.rank, len(ON_TIME_FRACTIONS) - 1)
-    ]
-    if requirements.is_retry:
-        fraction = ON_TIME_FRACTIONS[0]
-    first_byte_ms = (
-        min(requirements.objective_ms, requirements.remaining_ms) * fraction
-    )
-    finish_ms = (
-        min(requirements.finish_ms, requirements.remaining_ms)
-        * FINISH_FRACTION
-        * fraction
-    )
-    idle_ms = server_choice.prefill_ms * IDLE_FACTOR
-    if idle_ms < requirements.remaining_ms * FINISH_FRACTION:
-        first_byte_ms = max(first_byte_ms, idle_ms)
-        finish_ms = max(finish_ms, server_choice.work_ms * IDLE_FACTOR)
-    return _Limits(first_byte_ms, finish_ms)
-
-
 def retry_after_ms(wait_ms: float, remaining_ms: int, seed: int) -> int:
     """Returns the time after which a client is to retry, in ms.
 
--- /dev/null
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/announcements.py
@@ -0,0 +1,95 @@
+"""Handles what backend servers announce about themselves in their answers.
+
+A server that is about to end says so in all its answers, and one that
+refuses requests may say for how long it wants none. It protects requests
+from servers that would cut them, and servers from requests that they refuse.
+"""
+
+from typing import Any
+
+from ragwortgw_core import effects as core_effects
+from ragwortgw_core import events as core_events
+from ragwortgw_gateway import digests
+from ragwortgw_gateway import effects
+from ragwortgw_gateway import events
+from ragwortgw_gateway import fleet
+from ragwortgw_gateway import fleet_changes
+from ragwortgw_gateway import gateway_state
+
+State = gateway_state.State
+REDUCER = gateway_state.REDUCER
+
+
+@REDUCER.handles(events.ServerAnnounced)
+def on_announced(
+    state: State, stamp: core_events.Stamp, event: events.ServerAnnounced
+) -> list[Any]:
+    outputs: list[Any] = []
+    if event.leaving:
+        outputs += fleet_changes.apply(
+            state,
+            state.fleet.mark_leaving(event.process, stamp.now_ms),
+            False,
+        )
+    if event.pause_ms:
+        outputs += _pause(state, stamp, event.process, event.pause_ms)
+    if event.malformed_pause:
+        fields = {
+            'server': event.process.id,
+            'retry_after': event.malformed_pause,
+        }
+        outputs.append(core_effects.Record('server-pause-ignored', fields))
+    return outputs
+
+
+def _pause(
+    state: State,
+    stamp: core_events.Stamp,
+    process: fleet.ServerProcess,
+    pause_ms: int,
+) -> list[Any]:
+    """Sends no more requests to a server for a time."""
+    until_ms = state.backoff.pause(
+        process.id, process.started_ms, pause_ms, stamp.now_ms, stamp.seed
+    )
+    fields = {
+        'server': process.id,
+        'started_ms': process.started_ms,
+        'asked_ms': pause_ms,
+        'pause_ms': until_ms - stamp.now_ms,
+    }
+    return [
+        effects.PauseServer(process.id),
+        core_effects.Record('server-paused', fields),
+        core_effects.Count('gateway_server_pauses', ()),
+    ]
+
+
+def describe_leaving(state: State, now_ms: int) -> tuple[digests.Leaving, ...]:
+    """Returns the servers that are known to be leaving, for a digest."""
+    return tuple(
+        digests.Leaving(*process, now_ms - since_ms)
+        for process, since_ms in state.fleet.leaving_processes().items()
+    )
+
+
+def merge_remote(
+    state: State,
+    stamp: core_events.Stamp,
+    leaving: tuple[digests.Leaving, ...],
+) -> list[Any]:
+    """Applies what a peer knows of servers that leave.
+
+    Args:
+      state: The gateway.
+      stamp: Time and random seed.
+      leaving: The servers in the peer's digest.
+    Returns: Effects.
+    """
+    outputs: list[Any] = []
+    for server_id, started_ms, age_ms in leaving:
+        process = fleet.ServerProcess(server_id, started_ms)
+        since_ms = stamp.now_ms - max(0, age_ms)
+        change = state.fleet.mark_leaving(process, since_ms)
+        outputs += fleet_changes.apply(state, change, True)
+    return outputs
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -26,6 +26,8 @@
 MIN_SERVER_ERROR = 500
 #: Lowest HTTP status that is not a success.
 MIN_NON_SUCCESS = 300
+#: Reasons for which an attempt ended before it reached the server.
+UNCONNECTED: frozenset[events.Reason] = frozenset({'refused', 'paused'})
 #: HTTP status of a server that reached the deadline it was given. A short
 #: deadline says nothing about the server, so it counts as no failure.
 GATEWAY_TIMEOUT = 504
@@ -44,6 +46,7 @@
     attempt = active.attempts_by_id[event.attempt_id]
     attempt.answered_ms = stamp.now_ms
     state.loads.prefill_done(attempt.id, stamp.now_ms)
+    attempt.advanced_ms = stamp.now_ms
     state.last_seen_ms_by_server[attempt.server.id] = stamp.now_ms
     if not event.head.streaming:
         return []
@@ -60,9 +63,11 @@
         None if attempt.final else _larger_model_pressure(state, stamp, active)
     )
     accepted = state.tiers.accept_answer(
-        attempt.model, event.head.confidence, pressure or 0.0
+        attempt.model,
+        event.head.confidence,
+        0.0 if pressure is None else pressure.value,
     )
-    if accepted or pressure is None or pressure > 1:
+    if accepted or pressure is None or pressure.value > 1:
         attempt.delivered = True
         active.streaming = True
         outputs.append(effects.Deliver(attempt.id))
@@ -75,7 +80,7 @@
                         'attempt': attempt.id,
                         'model': attempt.model,
                         'confidence': event.head.confidence,
-                        'pressure': pressure and round(pressure, 2),
+                        **_describe_pressure(pressure),
                     },
                 )
             )
@@ -95,7 +100,7 @@
                 'attempt': attempt.id,
                 'model': attempt.model,
                 'confidence': event.head.confidence,
-                'pressure': round(pressure, 2),
+                **_describe_pressure(pressure),
                 'next_model': active.model_choice.model,
             },
         ),
@@ -103,6 +108,26 @@
     ]
 
 
+@REDUCER.handles(events.StreamsAdvanced)
+def on_streams_advanced(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    event: events.StreamsAdvanced,
+) -> list[Any]:
+    """Updates the times between events of the streams in progress."""
+    for attempt_id, count in event.advances:
+        active = state.requests_by_attempt.get(attempt_id)
+        if active is None:
+            continue
+        attempt = active.attempts_by_id[attempt_id]
+        elapsed_ms = stamp.now_ms - attempt.advanced_ms
+        attempt.advanced_ms = stamp.now_ms
+        state.latency.observe_events(
+            active.route.id, attempt.model, count, elapsed_ms, stamp.now_ms
+        )
+    return []
+
+
 @REDUCER.handles(events.AttemptEnded)
 def on_ended(
     state: gateway_state.State,
@@ -116,9 +141,14 @@
     active, attempt = ended
     if attempt.delivered:
         active.executions += 1
-        state.latency.observe_stream(
-            attempt.model, stamp.now_ms - attempt.answered_ms
-        )
+        if active.request.prompt is not None:
+            state.latency.observe_stream(
+                active.route.id,
+                attempt.model,
+                event.events,
+                active.request.prompt.output_tokens,
+                stamp.now_ms - attempt.answered_ms,
+            )
         _record_success(state, active, attempt)
         return [
             effects.FinishStream(active.request.id),
@@ -179,11 +209,13 @@
     server = attempt.server
     active.excluded_servers.add(server.id)
     active.set_failure(event.reason, f'by {server.id}')
-    outputs = record_server_failure(
-        state, stamp, active, attempt, event.reason
-    )
+    outputs: list[Any] = []
+    if event.reason != 'paused':
+        outputs += record_server_failure(
+            state, stamp, active, attempt, event.reason
+        )
     outputs.append(_record_broken_attempt(active, attempt, stamp, event.ran))
-    if event.reason == 'refused':
+    if event.reason in UNCONNECTED:
         return [*outputs, *_redispatch_unconnected(state, stamp, active)]
     if event.ran == 'no':
         return [*outputs, *_retry_refused(state, stamp, active)]
@@ -301,23 +333,31 @@
 ) -> None:
     """Updates the latency estimates with the time to the first byte.
 
-    Only attempts that neither queued nor copied blocks count for the model
-    or service; all count for the server and, in a roll-out, the version.
+    Attempts that copied blocks do not count for the model; all count for
+    the server and, in a roll-out, the version.
     """
     measured_ms = max(1, stamp.now_ms - attempt.sent_ms)
+    completion.record_wait(state, stamp, active, attempt)
     server_choice = attempt.server_choice
-    if not server_choice.queued and not server_choice.copied_tokens:
-        if attempt.model:
-            state.latency.observe_model(
-                attempt.model, server_choice.uncached_tokens, measured_ms
-            )
-        else:
-            state.latency.observe_plain(active.service, measured_ms)
+    if attempt.model and not server_choice.copied_tokens:
+        state.latency.observe_model(
+            attempt.model,
+            server_choice.uncached_tokens,
+            measured_ms,
+            server_choice.queued,
+        )
+    if not attempt.model and not server_choice.queued:
+        state.latency.observe_plain(active.service, measured_ms)
+    jitter_ms = 0.0
+    if attempt.model:
+        models = active.route.tiers or (attempt.model,)
+        jitter_ms = state.latency.jitter_ms(models)
     log_ratio = state.latency.observe_server(
         attempt.server.id,
-        server_choice.first_byte_ms,
+        server_choice.forecast.first_byte_ms,
         measured_ms,
         stamp.now_ms,
+        jitter_ms,
     )
     _record_version_evidence(
         state, active, attempt, slowness=log_ratio, timed=1
@@ -373,11 +413,11 @@
     state: gateway_state.State,
     stamp: core_events.Stamp,
     active: gateway_state.ActiveRequest,
-) -> float | None:
+) -> admission.Pressure | None:
     """Returns how busy the largest model is that could answer instead.
 
-    Returns: 0 if it could begin at once, 1 if just in time, more if it
-      would be late; None if it may not be asked or has no server.
+    Returns: The pressure; None if it may not be asked, has no server or
+      takes too long for the request even at an idle server.
     """
     if active.streaming or not selection.may_cascade(state, stamp, active):
         return None
@@ -389,9 +429,23 @@
     if server_choice is None:
         return None
     requirements = selection.requirements(state, stamp, active)
+    if server_choice.forecast.idle_end_ms > requirements.remaining_ms:
+        return None
     return admission.pressure(requirements, server_choice)
 
 
+def _describe_pressure(pressure: admission.Pressure | None) -> dict[str, Any]:
+    """Returns the log fields on how busy the larger model is."""
+    if pressure is None:
+        return {'pressure': None}
+    return {
+        'pressure': round(pressure.value, 2),
+        'reason': pressure.reason,
+        'larger_first_ms': round(pressure.first_ms),
+        'larger_limit_ms': round(pressure.limit_ms),
+    }
+
+
 def _largest_model(active: gateway_state.ActiveRequest) -> Any:
     assert active.model_choice is not None
     return active.model_choice._replace(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
@@ -78,6 +78,10 @@
     failure: Any,
 ) -> list[Any]:
     """Ends a request with a refusal, one of ragwortgw_core.errors."""
+    if active.admitted:
+        state.shares.record_unserved(
+            active.service, active.classes, stamp.now_ms
+        )
     return [
         effects.Refuse(active.request.id, failure),
         *finish(state, stamp, active, failure.slug),
@@ -142,7 +146,42 @@
     if active is None:
         return None
     state.loads.remove_attempt(attempt_id, stamp.now_ms)
-    return active, active.attempts_by_id.pop(attempt_id)
+    attempt = active.attempts_by_id.pop(attempt_id)
+    if not attempt.answered_ms and _overdue(state, stamp, attempt):
+        record_wait(state, stamp, active, attempt)
+    return active, attempt
+
+
+def _overdue(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    attempt: gateway_state.Attempt,
+) -> bool:
+    """Returns whether an attempt waits too long at a server that lives."""
+    last_seen_ms = state.last_seen_ms_by_server.get(attempt.server.id, 0)
+    elapsed_ms = stamp.now_ms - attempt.sent_ms
+    return last_seen_ms > attempt.sent_ms and elapsed_ms > attempt.expected_ms
+
+
+def record_wait(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.ActiveRequest,
+    attempt: gateway_state.Attempt,
+) -> None:
+    """Compares the wait of an attempt at a model server with its forecast."""
+    if not attempt.model:
+        return
+    forecast = attempt.server_choice.forecast
+    elapsed_ms = stamp.now_ms - attempt.sent_ms
+    state.waits.observe(
+        active.queue,
+        active.route.timeout_ms,
+        forecast.wait_ms,
+        elapsed_ms - forecast.idle_first_byte_ms,
+        bool(attempt.answered_ms),
+        stamp.now_ms,
+    )
 
 
 def cancel_attempt(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -23,12 +23,15 @@
       keys: All keys that exist.
       lapse_ms: Time for which deleted registrations may still be renewed,
         since the store had an outage; 0 if deletions are final.
+      retained: Values in force that are newer than those in the store,
+        since the store was restored from an older copy.
     """
 
     revision: int
     newer: tuple[platform.Found, ...]
     keys: tuple[str, ...]
     lapse_ms: int
+    retained: tuple[platform.Found, ...] = ()
 
 
 class ServerLoad(NamedTuple):
@@ -109,6 +112,20 @@
     ready_in_ms: int
 
 
+class Leaving(NamedTuple):
+    """A process of a backend server that announced that it leaves.
+
+    Args:
+      server: Id of the server.
+      started_ms: When the process started, by its own clock.
+      age_ms: Time since the announcement.
+    """
+
+    server: str
+    started_ms: int
+    age_ms: int
+
+
 class Note(NamedTuple):
     """An attempt that a gateway has just sent to a backend server.
 
@@ -140,6 +157,10 @@
       loads_by_server: Its work by backend server, without idle servers.
       crashes: Crashes of the last minute that it observed itself.
       evidence_by_service: Its evidence on roll-outs that are in progress.
+      leaving: Registered servers that it knows to be leaving.
+      configuration: Version of its configuration, 0 if it has none.
+      settling_ms: Time for which the store, which was restored from an
+        older copy, may still hold what is out of date; 0 if it does not.
     """
 
     sender: str
@@ -152,6 +173,9 @@
     loads_by_server: dict[str, ServerLoad]
     crashes: tuple[Crash, ...]
     evidence_by_service: dict[str, RolloutEvidence]
+    leaving: tuple[Leaving, ...] = ()
+    configuration: int = 0
+    settling_ms: int = 0
 
 
 #: First byte of a datagram, by the type of the message.
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -12,6 +12,7 @@
 from ragwortgw_gateway import admission
 from ragwortgw_gateway import completion
 from ragwortgw_gateway import digests
+from ragwortgw_gateway import documents
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import gateway_state
 from ragwortgw_gateway import gossip
@@ -35,12 +36,6 @@
 #: The prefix blocks of a prompt can be copied from a server after this many
 #: times the estimated time to the first byte, or once its answer begins.
 READY_FACTOR = 1.5
-#: Range of the priorities that backend servers accept, most urgent first.
-FIRST_URGENCY = 0
-LAST_URGENCY = 9
-#: Urgencies for each priority of an organisation; requests of the same
-#: priority are ranked by their route.
-URGENCIES_PER_PRIORITY = 3
 
 
 def dispatch(
@@ -75,17 +70,12 @@
     if server_choice is None:
         return wait_or_refuse(state, stamp, active, bool(servers))
     if not active.attempts_made:
-        requirements = selection.requirements(state, stamp, active)
-        excess_ms = admission.excess_ms(requirements, server_choice)
-        if excess_ms > 0:
-            smaller = selection.find_smaller_model(
-                state, stamp, active, model_choice, servers, requirements
-            )
-            if smaller is None:
-                return shed_load(
-                    state, stamp, active, server_choice, excess_ms
-                )
-            model_choice, server_choice = smaller
+        admitted = _admit_attempt(
+            state, stamp, active, model_choice, server_choice, servers
+        )
+        if isinstance(admitted, admission.Pressure):
+            return shed_load(state, stamp, active, server_choice, admitted)
+        model_choice, server_choice = admitted
     if active.attempts_made and not state.budget.try_spend(
         active.service, state.gateway_count, stamp.now_ms
     ):
@@ -96,12 +86,92 @@
     )
 
 
+def _admit_attempt(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.ActiveRequest,
+    model_choice: tiers.ModelChoice | None,
+    server_choice: placement.ServerChoice,
+    servers: list[documents.BackendServer],
+) -> (
+    tuple[tiers.ModelChoice | None, placement.ServerChoice]
+    | admission.Pressure
+):
+    """Decides on the first attempt of a request.
+
+    A request that would be late or make others late gets a smaller model
+    that is in time. If there is none, it is admitted only if it belongs to
+    a class that has had less than its share.
+
+    Args:
+      state: The gateway.
+      stamp: Time and random seed.
+      active: The request.
+      model_choice: The chosen model, None for a plain request.
+      server_choice: The best server for it.
+      servers: Servers that may run the request.
+    Returns: The model and the server; the pressure if it is refused.
+    """
+    requirements = selection.requirements(state, stamp, active)
+    pressure = admission.pressure(requirements, server_choice)
+    admitted = True
+    if pressure.value > 1:
+        smaller = selection.find_smaller_model(
+            state, stamp, active, model_choice, servers, requirements
+        )
+        if smaller is not None:
+            model_choice, server_choice = smaller
+        else:
+            admitted = active.keeps_share = _keeps_share(
+                state, stamp, active, server_choice, requirements
+            )
+    _record_admission(state, stamp, active, admitted)
+    return (model_choice, server_choice) if admitted else pressure
+
+
+def _record_admission(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.ActiveRequest,
+    admitted: bool,
+) -> None:
+    """Counts a request for the shares of its classes.
+
+    One whose server could not be reached is admitted again; it counts once.
+    """
+    if active.admitted:
+        return
+    active.admitted = admitted
+    is_retry = state.refusal_history.is_retry(
+        active.request.fingerprint, stamp.now_ms
+    )
+    state.shares.record(
+        active.service, active.classes, admitted, stamp.now_ms, is_retry
+    )
+
+
+def _keeps_share(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.ActiveRequest,
+    server_choice: placement.ServerChoice,
+    requirements: admission.Requirements,
+) -> bool:
+    """Returns whether a late request is admitted for its class's share."""
+    if server_choice.forecast.first_byte_ms >= requirements.remaining_ms:
+        return False
+    starved = state.shares.starved_class(
+        active.service, active.classes, stamp.now_ms
+    )
+    return starved is not None
+
+
 def shed_load(
     state: gateway_state.State,
     stamp: events.Stamp,
     active: gateway_state.ActiveRequest,
     server_choice: placement.ServerChoice,
-    excess_ms: float,
+    pressure: admission.Pressure,
 ) -> list[Any]:
     """Refuses a request that even the best server would answer too late.
 
@@ -110,26 +180,32 @@
       stamp: Time and random seed.
       active: The request.
       server_choice: The best server.
-      excess_ms: How far its estimates are beyond the request's limits.
+      pressure: Why it is too busy for the request.
     Returns: Effects.
     """
     remaining_ms = active.deadline_ms - stamp.now_ms
-    retry_ms = admission.retry_after_ms(excess_ms, remaining_ms, stamp.seed)
+    retry_ms = admission.retry_after_ms(
+        pressure.wait_ms, remaining_ms, stamp.seed
+    )
     state.refusal_history.record_refusal(
         active.request.fingerprint, stamp.now_ms, active.deadline_ms
     )
-    active.set_failure('too late', f'by {round(excess_ms)} ms')
+    active.set_failure('too late', pressure.reason)
+    forecast = server_choice.forecast
     return [
         core_effects.Record(
             'request-refused',
             {
                 'request': active.request.id,
                 'rank': active.route.priority,
+                'reason': pressure.reason,
+                'pressure': round(pressure.value, 2),
+                'wait_ms': round(pressure.wait_ms),
                 'best_server': server_choice.server.id,
-                'excess_ms': round(excess_ms),
-                'first_ms': round(server_choice.first_byte_ms),
-                'backlog_ms': round(server_choice.backlog_ms),
-                'work_ms': round(server_choice.work_ms),
+                'first_ms': round(pressure.first_ms),
+                'first_limit_ms': round(pressure.limit_ms),
+                'begin_ms': round(pressure.begin_ms),
+                'end_ms': round(forecast.end_ms),
                 'left_ms': remaining_ms,
                 'retry_after_ms': retry_ms,
                 'registry_age_ms': stamp.now_ms - state.values.confirmed_ms,
@@ -179,14 +255,22 @@
         tokens = request.prompt.tokens + request.prompt.output_tokens
         notes = _record_prefill(state, stamp, active, attempt, tokens)
     load = state.loads.remaining(server.id, stamp.now_ms)
+    forecast = server_choice.forecast
     state.loads.add_attempt(
         attempt.id,
         server.id,
-        server_choice.prefill_ms,
-        server_choice.work_ms,
+        forecast.prefill_ms,
+        forecast.alone_ms,
         tokens,
         stamp.now_ms,
     )
+    if attempt.model:
+        state.demand.add(
+            active.service,
+            active.route.priority,
+            forecast.prefill_ms,
+            stamp.now_ms,
+        )
     state.last_seen_ms_by_server.setdefault(server.id, stamp.now_ms)
     state.sessions.record_version(
         request.session, server.version, stamp.now_ms
@@ -210,7 +294,10 @@
                 'server': server.id,
                 'version': server.version,
                 'model': attempt.model,
-                'expected_ms': round(server_choice.first_byte_ms),
+                'urgency': active.urgency,
+                'keeps_share': active.keeps_share,
+                'expected_ms': round(forecast.first_byte_ms),
+                'expected_end_ms': round(forecast.end_ms),
                 'unread_tokens': server_choice.uncached_tokens,
                 'copied_tokens': server_choice.copied_tokens,
                 'running_there': load.running,
@@ -242,19 +329,19 @@
     Returns: Effects that send a note to the peers.
     """
     assert active.request.prompt is not None
-    server_choice = attempt.server_choice
+    forecast = attempt.server_choice.forecast
     prefill = digests.Prefill(
         attempt.server.id,
         attempt.model,
         active.request.prompt.blocks,
-        round(server_choice.first_byte_ms * READY_FACTOR),
+        round(forecast.first_byte_ms * READY_FACTOR),
     )
     cache_tokens = state.cache_tokens(active.service)
     state.prefixes.record_prefill(prefill, cache_tokens, stamp.now_ms)
     load = digests.ServerLoad(
         1,
-        round(server_choice.prefill_ms),
-        round(server_choice.work_ms),
+        round(forecast.prefill_ms),
+        round(forecast.alone_ms),
         tokens,
     )
     return gossip.broadcast_note(state, prefill, load)
@@ -279,14 +366,7 @@
             / state.gateway_count
         )
         connection_limit = max(2, min(MAX_CONNECTIONS, int(fair_share)))
-    urgency = None
-    if attempt.model:
-        urgency = min(
-            LAST_URGENCY,
-            FIRST_URGENCY
-            + URGENCIES_PER_PRIORITY * active.priority
-            + min(active.route.priority, URGENCIES_PER_PRIORITY - 1),
-        )
+    urgency = active.urgency if attempt.model else None
     resume_after = 0
     if active.last_event_id > active.request.resumed_after:
         resume_after = active.last_event_id
@@ -304,6 +384,7 @@
         active.route.kind == 'streaming',
         active.route.repeatable,
         active.deadline_ms,
+        attempt.server.started_ms,
     )
 
 
@@ -317,7 +398,8 @@
 
     A request without any attempt is refused at once. One that is already
     streaming, or whose attempts failed, is dispatched again after a short
-    wait, with no server excluded.
+    wait, with no server excluded. While all servers pause, one that no
+    server may have run is refused, with the end of the first pause.
 
     Args:
       state: The gateway.
@@ -329,13 +411,28 @@
     if active.attempts_by_id:
         return []
     remaining_ms = active.deadline_ms - stamp.now_ms
+    pause_ms = _pause_ms(state, stamp, active)
     tried = active.attempts_made or active.connect_failures
-    if has_servers and remaining_ms > 2 * RETRY_MS and tried:
+    if pause_ms:
+        tried = active.executions
+    wait_ms = max(RETRY_MS, pause_ms)
+    if has_servers and remaining_ms > RETRY_MS + wait_ms and tried:
         active.excluded_servers.clear()
-        active.retry_ms = stamp.now_ms + RETRY_MS
+        active.retry_ms = stamp.now_ms + wait_ms
         return []
     retry_ms = admission.retry_after_ms(
-        admission.NO_SERVER_WAIT_MS, remaining_ms, stamp.seed
+        pause_ms or admission.NO_SERVER_WAIT_MS, remaining_ms, stamp.seed
     )
     failure = errors.NoBackendServer(active.service, retry_ms)
     return completion.fail_request(state, stamp, active, failure)
+
+
+def _pause_ms(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.ActiveRequest,
+) -> int:
+    """Returns the time until a server wants requests, 0 if one does now."""
+    _, servers = selection.choose_version(state, stamp, active)
+    until_ms = state.backoff.first_end_ms(servers, stamp.now_ms)
+    return max(0, until_ms - stamp.now_ms)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/documents.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/documents.py
@@ -77,6 +77,7 @@
       token_bytes: KV cache of one token, in bytes; 0 if servers can't copy
         cached blocks from each other.
       link_mbps: Rate of such copies, in Mbit/s.
+      event_tokens: Tokens of one event of a stream, 0 if unknown.
     """
 
     id: str
@@ -85,6 +86,7 @@
     costs_by_model: dict[str, float]
     token_bytes: int = 0
     link_mbps: float = 0.0
+    event_tokens: int = 0
 
 
 class Organisation(NamedTuple):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
@@ -54,6 +54,15 @@
     failure: Any
 
 
+class PauseServer(NamedTuple):
+    """Withdraws the attempts at a backend server that are not sent yet.
+
+    AttemptBroke follows for each of them.
+    """
+
+    server_id: str
+
+
 class DropServer(NamedTuple):
     """Closes the idle connections to a backend server."""
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -7,12 +7,14 @@
 
 from ragwortgw_core import errors
 from ragwortgw_gateway import digests
+from ragwortgw_gateway import fleet
 from ragwortgw_gateway import options
 from ragwortgw_gateway import requests
 
 #: Why an attempt broke: connection refused, connection closed by the server,
-#: no answer in time, bytes that are no answer to the request.
-Reason = Literal['refused', 'reset', 'silent', 'garbled']
+#: no answer in time, bytes that are no answer to the request, not sent since
+#: the server asked for a pause.
+Reason = Literal['refused', 'reset', 'silent', 'garbled', 'paused']
 
 
 class RequestArrived(NamedTuple):
@@ -76,12 +78,41 @@
     last_event: int
 
 
+class ServerAnnounced(NamedTuple):
+    """A backend server announced something about itself in an answer.
+
+    Args:
+      process: The process of the server.
+      leaving: Whether it is about to end.
+      pause_ms: Time for which it wants no requests, 0 for none.
+      malformed_pause: What it sent instead of a time, '' if nothing.
+    """
+
+    process: fleet.ServerProcess
+    leaving: bool
+    pause_ms: int
+    malformed_pause: str
+
+
 class ServersHeard(NamedTuple):
     """Data arrived from these backend servers since the last tick."""
 
     server_ids: tuple[str, ...]
 
 
+class Advance(NamedTuple):
+    """Events of one attempt's stream that arrived since the last tick."""
+
+    attempt_id: str
+    events: int
+
+
+class StreamsAdvanced(NamedTuple):
+    """Events arrived after the first ones of streams in progress."""
+
+    advances: tuple[Advance, ...]
+
+
 class DigestReceived(NamedTuple):
     """A peer sent a digest."""
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/fleet_changes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/fleet_changes.py
@@ -24,6 +24,7 @@
         state.prefixes.forget(server_id)
         state.latency.forget(server_id)
         state.outliers.forget(server_id)
+        state.backoff.forget(server_id)
         state.last_seen_ms_by_server.pop(server_id, None)
         outputs.append(effects.DropServer(server_id))
     for change_name, server_ids in change._asdict().items():
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -12,6 +12,7 @@
 from ragwortgw_core import events as core_events
 from ragwortgw_core import platform
 from ragwortgw_gateway import admission
+from ragwortgw_gateway import announcements
 from ragwortgw_gateway import attempts
 from ragwortgw_gateway import completion
 from ragwortgw_gateway import digests
@@ -33,7 +34,7 @@
 Options = limits.Options
 REDUCER = gateway_state.REDUCER
 #: Modules that register handlers when they are imported.
-HANDLERS = (attempts, store_changes, gossip)
+HANDLERS = (attempts, announcements, store_changes, gossip)
 
 #: Retry-After while the gateway has no configuration yet.
 NO_CONFIGURATION_RETRY_MS = 500
@@ -45,8 +46,9 @@
 #: the store commonly answers within a tenth of it.
 START_HOLD_MS = 1_000
 #: Time after the start of a planned stop for which all requests are still
-#: accepted, since load balancers and clients still send them here; after
-#: it, only requests whose deadline is before the end of the stop.
+#: accepted but long streams, since load balancers and clients still send
+#: them here; after it, only requests whose deadline is before the end of the
+#: stop.
 STOP_ACCEPT_MS = 3_000
 #: Time after the start of a planned stop at which callers' idle connections
 #: are closed; new connections are accepted until the end, in case no other
@@ -122,6 +124,10 @@
         return _refuse_unrouted(request.id, denial)
     service = routes.choose_target(route, request.session or request.id)
     active = gateway_state.ActiveRequest(request, route, service, organisation)
+    if request.prompt is not None:
+        size_class = state.sizes.classify(route.id, request.prompt.size)
+        if size_class is not None:
+            active.classes = (*active.classes, size_class)
     state.requests_by_id[request.id] = active
     state.budget.count_request(service, stamp.now_ms)
     if not _ends_before_stop(state, stamp, active):
@@ -138,7 +144,7 @@
     It is short if another gateway accepts callers; otherwise the client is
     to retry after the restart.
     """
-    if any(not peer.digest.stopping for peer in state.peers_by_id.values()):
+    if _peer_accepts_callers(state):
         return STOPPING_RETRY_MS
     end_ms = state.stop_began_ms + state.options.stop_ms + RESTART_MS
     remaining_ms = active.deadline_ms - stamp.now_ms
@@ -149,14 +155,29 @@
 def _ends_before_stop(
     state: State, stamp: core_events.Stamp, active: gateway_state.ActiveRequest
 ) -> bool:
-    """Returns whether a request will end before a planned stop does."""
+    """Returns whether a request will end before a planned stop does.
+
+    At first all are taken to, but streams that another gateway can serve and
+    that may last longer: one that begins as late as its objective, and is as
+    long as nearly all of its route are at most.
+    """
     if not state.stopping:
         return True
     elapsed_ms = stamp.now_ms - state.stop_began_ms
-    if elapsed_ms <= STOP_ACCEPT_MS:
-        return True
     remaining_ms = state.options.stop_ms - STOP_RESERVE_MS - elapsed_ms
-    return active.deadline_ms - stamp.now_ms < remaining_ms
+    if active.deadline_ms - stamp.now_ms < remaining_ms:
+        return True
+    if elapsed_ms > STOP_ACCEPT_MS:
+        return False
+    streams = state.latency.route_streams(active.route.id, stamp.now_ms)
+    if streams is None or not _peer_accepts_callers(state):
+        return True
+    return active.route.objective_ms + streams.present_ms < remaining_ms
+
+
+def _peer_accepts_callers(state: State) -> bool:
+    """Returns whether another gateway is known that is not stopping."""
+    return any(not peer.digest.stopping for peer in state.peers_by_id.values())
 
 
 @REDUCER.handles(events.CallerLeft)
@@ -192,6 +213,7 @@
     outputs += fleet_changes.apply(
         state, state.fleet.expire(stamp.now_ms), False
     )
+    outputs += store_changes.on_tick(state, stamp)
     outputs += _admit_held(state, stamp)
     outputs += timeouts.on_tick(state, stamp)
     outputs += _update_rollouts(state, stamp)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from ragwortgw_core import events as core_events
+from ragwortgw_core import platform
 from ragwortgw_core import platform_calls
 from ragwortgw_core import reducer
 from ragwortgw_gateway import crashes
@@ -20,18 +21,27 @@
 from ragwortgw_gateway import outlier_ejection
 from ragwortgw_gateway import placement
 from ragwortgw_gateway import prefixes
+from ragwortgw_gateway import queue_waits
 from ragwortgw_gateway import refusal_history
 from ragwortgw_gateway import requests
 from ragwortgw_gateway import retry_budget
 from ragwortgw_gateway import rollouts
 from ragwortgw_gateway import routes
+from ragwortgw_gateway import server_backoff
 from ragwortgw_gateway import session_versions
+from ragwortgw_gateway import shares
 from ragwortgw_gateway import store_link
 from ragwortgw_gateway import store_watch
 from ragwortgw_gateway import tiers
 
 #: A peer whose last digest is older than this is taken to be dead.
 PEER_LIFETIME_MS = 2_500
+#: Range of the priorities that backend servers accept, most urgent first.
+FIRST_URGENCY = 0
+LAST_URGENCY = 9
+#: Urgencies for each priority of an organisation; requests of the same
+#: priority are ranked by their route.
+URGENCIES_PER_PRIORITY = 3
 
 
 class Attempt:
@@ -48,6 +58,7 @@
       expected_ms: Estimated time until the first byte of the answer.
       sent_ms: When it was sent.
       answered_ms: When the head of the answer arrived, 0 before.
+      advanced_ms: When the latest events of the answer arrived.
       delivered: Whether events of its answer go to the caller.
     """
 
@@ -61,6 +72,7 @@
         'expected_ms',
         'sent_ms',
         'answered_ms',
+        'advanced_ms',
         'delivered',
     )
 
@@ -78,9 +90,10 @@
         self.final = model_choice is None or model_choice.final
         self.candidate = candidate
         self.server_choice = server_choice
-        self.expected_ms = server_choice.first_byte_ms
+        self.expected_ms = server_choice.forecast.first_byte_ms
         self.sent_ms = now_ms
         self.answered_ms = 0
+        self.advanced_ms = 0
         self.delivered = False
 
 
@@ -93,6 +106,10 @@
       service: The service that it goes to.
       organisation: Owner of its key.
       priority: Its rank, 0 is the most urgent.
+      classes: Classes of requests that it belongs to.
+      admitted: Whether it was admitted.
+      keeps_share: Whether it was admitted only since one of its classes had
+        had less than its share.
       attempts_by_id: Attempts in progress.
       executions: Finished attempts that a server ran or may have run.
       refusals: Attempts that a server refused without running them.
@@ -116,6 +133,9 @@
         'service',
         'organisation',
         'priority',
+        'classes',
+        'admitted',
+        'keeps_share',
         'attempts_by_id',
         'executions',
         'refusals',
@@ -145,6 +165,9 @@
         self.priority = route.priority
         if organisation is not None and organisation.priority is not None:
             self.priority = organisation.priority
+        self.classes = shares.classify(request, route, self.organisation)
+        self.admitted = False
+        self.keeps_share = False
         self.attempts_by_id: dict[str, Attempt] = {}
         self.executions = 0
         self.refusals = 0
@@ -171,6 +194,27 @@
         self.reason = reason
         self.last_failure = f'{reason} {details}'.rstrip()
 
+    @property
+    def urgency(self) -> int:
+        """Its priority at the backend server, 0 is the most urgent.
+
+        A request that is admitted for the share of its class is as urgent as
+        any: behind the more urgent ones it would wait for ever.
+        """
+        if self.keeps_share:
+            return FIRST_URGENCY
+        return min(
+            LAST_URGENCY,
+            FIRST_URGENCY
+            + URGENCIES_PER_PRIORITY * self.priority
+            + min(self.route.priority, URGENCIES_PER_PRIORITY - 1),
+        )
+
+    @property
+    def queue(self) -> queue_waits.Queue:
+        """Requests that wait like it at the backend servers."""
+        return queue_waits.Queue(self.service, self.route.id, self.urgency)
+
     @property
     def attempts_made(self) -> int:
         """Attempts that may have reached a server, finished or not."""
@@ -235,14 +279,24 @@
         self.table: routes.RouteTable | None = None
         self.fleet = fleet.Fleet()
         self.loads = loads.LoadTracker()
+        self.demand = loads.PrefillDemand()
+        self.waits = queue_waits.WaitTracker()
         self.prefixes = prefixes.PrefixCacheIndex()
         self.latency = latency_estimates.LatencyEstimator()
         self.outliers = outlier_ejection.OutlierDetector()
+        self.backoff = server_backoff.BackoffTracker()
         self.crashes = crashes.CrashTracker()
         self.tiers = tiers.TierSelector()
         self.refusal_history = refusal_history.RefusalHistory()
+        self.shares = shares.ShareTracker()
+        self.sizes = shares.SizeClassifier()
         self.server_selector = placement.ServerSelector(
-            zone, self.loads, self.prefixes, self.latency, self.outliers
+            zone,
+            self.loads,
+            self.prefixes,
+            self.latency,
+            self.outliers,
+            self.backoff,
         )
         self.budget = retry_budget.RetryBudget(
             options.retry_ratio, options.retry_slack, options.retry_window_ms
@@ -267,6 +321,14 @@
         #: Until when registrations that lapsed in an outage of the store
         #: may be renewed, as a peer reports it; 0 if none was reported.
         self.lapse_deadline_ms = 0
+        #: When the store was seen to be restored from an older copy, 0 if it
+        #: was not.
+        self.restored_ms = 0
+        #: Until when the restored store may hold what is out of date, 0
+        #: outside that time.
+        self.settle_deadline_ms = 0
+        #: The value that the configuration in force was read from.
+        self.configuration_value: platform.Found | None = None
         #: Whether the store reported a change since the last digest; the
         #: next digest then goes to all peers.
         self.has_unshared_changes = False
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gauges.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gauges.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from ragwortgw_core import platform
 from ragwortgw_gateway import gateway_state
+from ragwortgw_gateway import shares
 
 
 class Gauge(NamedTuple):
@@ -24,6 +26,9 @@
     """
     yield from _connectivity(state, now_ms)
     yield from _requests(state, now_ms)
+    yield from _unanswered(state)
+    yield from _shares(state)
+    yield from _waits(state, now_ms)
     yield from _budgets(state, now_ms)
     yield from _rollouts(state, now_ms)
     yield from _servers(state, now_ms)
@@ -35,7 +40,9 @@
     values_by_metric = {
         'gateway_ready': state.ready,
         'gateway_configuration_version': state.version,
-        'gateway_store_revision': state.values.revision,
+        'gateway_store_epoch': state.values.epoch,
+        'gateway_store_revision': platform.number_of(state.values.revision),
+        'gateway_store_settling_ms': max(0, state.settle_deadline_ms - now_ms),
         'gateway_store_reachable': state.link.reachable,
         'gateway_store_age_ms': now_ms - state.values.confirmed_ms,
         'gateway_peers': len(last_seen_ms),
@@ -69,6 +76,39 @@
     yield Gauge('gateway_requests_held', (), float(held_count))
 
 
+def _unanswered(state: gateway_state.State) -> Iterator[Gauge]:
+    """Requests that a server has and has not begun to answer, by route."""
+    count_by_route: dict[str, int] = {}
+    for active in state.requests_by_id.values():
+        if any(
+            not each.answered_ms for each in active.attempts_by_id.values()
+        ):
+            route_id = active.route.id
+            count_by_route[route_id] = count_by_route.get(route_id, 0) + 1
+    for route_id, count in sorted(count_by_route.items()):
+        labels = (('route', route_id),)
+        yield Gauge('gateway_requests_unanswered', labels, float(count))
+
+
+def _shares(state: gateway_state.State) -> Iterator[Gauge]:
+    """Fraction served lately of each route and organisation."""
+    fractions = state.shares.fractions(shares.WHOLE_KINDS)
+    for (service, each), fraction in sorted(fractions.items()):
+        labels = (('service', service), ('kind', each.kind), ('id', each.id))
+        yield Gauge('gateway_share_served', labels, fraction)
+
+
+def _waits(state: gateway_state.State, now_ms: int) -> Iterator[Gauge]:
+    """By how much requests lately waited longer than forecast."""
+    for queue, factor in sorted(state.waits.factors(now_ms).items()):
+        labels = (
+            ('service', queue.service),
+            ('route', queue.route_id),
+            ('urgency', str(queue.urgency)),
+        )
+        yield Gauge('gateway_wait_factor', labels, factor)
+
+
 def _budgets(state: gateway_state.State, now_ms: int) -> Iterator[Gauge]:
     for service in state.budget.services():
         retries = state.budget.available(service, state.gateway_count, now_ms)
@@ -92,6 +132,10 @@
     servers = state.fleet.servers_by_id.values()
     for server in servers:
         condition = 'draining' if server.draining else 'serving'
+        if server.id in state.fleet.leaving_ids and not server.draining:
+            condition = 'leaving'
+        if state.backoff.paused(server, now_ms):
+            condition = 'paused'
         if state.outliers.suspended(server.id, now_ms):
             condition = 'suspended'
         labels = (
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
@@ -8,12 +8,15 @@
 from typing import Any
 
 from ragwortgw_core import events as core_events
+from ragwortgw_core import platform
+from ragwortgw_gateway import announcements
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import events
 from ragwortgw_gateway import fleet
 from ragwortgw_gateway import gateway_state
 from ragwortgw_gateway import routes
+from ragwortgw_gateway import store_changes
 from ragwortgw_gateway import store_watch
 
 State = gateway_state.State
@@ -90,7 +93,11 @@
     state.crashes.merge_remote(digest.crashes, stamp.now_ms)
     if digest.revision <= state.values.revision:
         state.values.confirm(stamp.now_ms - digest.store_age_ms)
-    return []
+    if digest.settling_ms and not state.restored_ms:
+        # This gateway started after the restore and could not see it.
+        state.restored_ms = stamp.now_ms
+        state.settle_deadline_ms = stamp.now_ms + digest.settling_ms
+    return announcements.merge_remote(state, stamp, digest.leaving)
 
 
 @REDUCER.handles(events.NoteReceived)
@@ -103,6 +110,7 @@
     server = state.fleet.servers_by_id.get(note.prefill.server)
     if peer is None or server is None:
         return []
+    state.demand.add_remote(server.service, note.load.pending_ms, stamp.now_ms)
     if note.sequence >= peer.digest.sequence:
         state.loads.add_remote(note.sender, server.id, note.load, stamp.now_ms)
     state.prefixes.record_prefill(
@@ -143,7 +151,9 @@
     state: State, stamp: core_events.Stamp, event: events.BeliefsOffered
 ) -> list[Any]:
     outputs = state.values.merge_view(stamp, event.store_view)
-    return gateway_state.apply_notices(state, stamp, outputs)
+    applied = gateway_state.apply_notices(state, stamp, outputs)
+    retained = event.store_view.retained
+    return [*applied, *store_changes.apply_retained(state, stamp, retained)]
 
 
 def send_digests(state: State, stamp: core_events.Stamp) -> list[Any]:
@@ -193,6 +203,9 @@
         state.loads.local(),
         state.crashes.local(now_ms),
         state.rollouts.local_evidence(now_ms),
+        announcements.describe_leaving(state, now_ms),
+        state.version,
+        max(0, state.settle_deadline_ms - now_ms),
     )
 
 
@@ -208,26 +221,35 @@
       now_ms: The time.
     """
     deadline_ms = state.lapse_deadline_ms
-    if state.link.reachable and state.link.recovered_ms:
-        recovered_ms = state.link.recovered_ms
-        deadline_ms = max(deadline_ms, recovered_ms + fleet.LAPSE_GRACE_MS)
-    return state.values.view_since(revision, max(0, deadline_ms - now_ms))
+    returned_ms = max(state.link.recovered_ms, state.restored_ms)
+    if state.link.reachable and returned_ms:
+        deadline_ms = max(deadline_ms, returned_ms + fleet.LAPSE_GRACE_MS)
+    view = state.values.view_since(revision, max(0, deadline_ms - now_ms))
+    value = state.configuration_value
+    if value is None or state.values.get(value.key) == value:
+        return view
+    return view._replace(retained=(value,))
 
 
 def fetch_missing_changes(state: State, stamp: core_events.Stamp) -> list[Any]:
     """Fetches changes that a peer knows and the store has not reported."""
     revision = state.values.revision
-    addresses_ahead = [
-        peer.digest.address
+    peers_ahead = [
+        peer
         for peer in state.peers_by_id.values()
         if peer.digest.revision > revision
+        or peer.digest.configuration > state.version
     ]
-    if not addresses_ahead:
+    if not peers_ahead:
         state.behind_since_ms = 0
         return []
+    addresses_ahead = [peer.digest.address for peer in peers_ahead]
+    newest = max(peer.digest.revision for peer in peers_ahead)
     state.behind_since_ms = state.behind_since_ms or stamp.now_ms
     delay_ms = 0
-    if revision and stamp.now_ms - state.values.store_confirmed_ms < FRESH_MS:
+    store_age_ms = stamp.now_ms - state.values.store_confirmed_ms
+    restored = platform.epoch_of(newest) > state.values.epoch
+    if revision and store_age_ms < FRESH_MS and not restored:
         delay_ms = FETCH_DELAY_MS
     due_ms = max(state.behind_since_ms + delay_ms, state.fetch_deadline_ms)
     if stamp.now_ms < due_ms or not _may_fetch(state, stamp.now_ms):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/loads.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/loads.py
@@ -1,4 +1,4 @@
-"""Tracks the work in progress at each backend server.
+"""Tracks the work in progress at each backend server, and its ranks.
 
 The work is that of the attempts which this gateway and its peers have sent
 and which have not ended. A server prefills prompts one after the other; how
@@ -10,6 +10,10 @@
 from typing import NamedTuple
 
 from ragwortgw_gateway import digests
+from ragwortgw_gateway import moving
+
+#: Time over which the prefill demand of ranks is averaged.
+DEMAND_WINDOW_MS = 2_000.0
 
 #: A digest that is older than this is ignored: its sender is dead, and its
 #: work has ended.
@@ -23,7 +27,8 @@
       running: Requests in progress.
       pending_ms: Time that the server needs to prefill the prompts of
         requests that it has not begun to answer.
-      work_ms: Time that it needs to finish all requests.
+      work_ms: Sum of the times that the requests need, each as if it ran
+        alone. The server runs them in a batch, and finishes earlier.
       tokens: KV cache that the requests take, in tokens.
     """
 
@@ -271,3 +276,53 @@
         max(0.0, left.work_ms + right.work_ms),
         left.tokens + right.tokens,
     )
+
+
+class PrefillDemand:
+    """Prefill that all gateways lately sent, by service and rank.
+
+    Peers report what they send, without the rank; their ranks are taken to
+    be divided as this gateway's.
+    """
+
+    def __init__(self) -> None:
+        self._local_by_service: dict[str, dict[int, moving.DecayingSum]] = {}
+        self._remote_by_service: dict[str, moving.DecayingSum] = {}
+
+    def add(
+        self, service: str, rank: int, prefill_ms: float, now_ms: int
+    ) -> None:
+        """Counts an attempt that this gateway sends."""
+        local_by_rank = self._local_by_service.setdefault(service, {})
+        demand = local_by_rank.get(rank)
+        if demand is None:
+            demand = local_by_rank[rank] = moving.DecayingSum(
+                DEMAND_WINDOW_MS, now_ms
+            )
+        demand.add(prefill_ms, now_ms)
+
+    def add_remote(self, service: str, prefill_ms: float, now_ms: int) -> None:
+        """Counts an attempt that a peer sent."""
+        demand = self._remote_by_service.get(service)
+        if demand is None:
+            demand = self._remote_by_service[service] = moving.DecayingSum(
+                DEMAND_WINDOW_MS, now_ms
+            )
+        demand.add(prefill_ms, now_ms)
+
+    def urgent_rate(self, service: str, rank: int, now_ms: int) -> float:
+        """Returns how fast prefill of more urgent ranks is sent.
+
+        Returns: Prefill time for each unit of time; 1 keeps one server busy.
+        """
+        urgent_ms = local_ms = 0.0
+        for each, demand in self._local_by_service.get(service, {}).items():
+            demand_ms = demand.value(now_ms)
+            local_ms += demand_ms
+            urgent_ms += demand_ms if each < rank else 0.0
+        if not urgent_ms:
+            return 0.0
+        remote = self._remote_by_service.get(service)
+        remote_ms = 0.0 if remote is None else remote.value(now_ms)
+        total_ms = local_ms + remote_ms
+        return total_ms * urgent_ms / local_ms / DEMAND_WINDOW_MS
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/notices.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/notices.py
@@ -24,6 +24,20 @@
     lapse_ms: int = 0
 
 
+class StoreRestored(NamedTuple):
+    """The store was restored from an older copy of itself.
+
+    Args:
+      before: Epoch in which the gateway knew it before.
+      epoch: Its epoch now.
+      relayed: Whether a peer reported that, rather than the store.
+    """
+
+    before: int
+    epoch: int
+    relayed: bool
+
+
 class StoreLost(NamedTuple):
     """The store stopped answering."""
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/options.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/options.py
@@ -16,6 +16,10 @@
       session_lifetime_ms: Time after its last request at which a session
         ends.
       stop_ms: Time that a planned stop may take.
+      drain_ms: Time after which no request may reach a server that has
+        announced that it leaves.
+      heartbeat_ms: Interval at which backend servers renew their
+        registrations.
     """
 
     retry_ratio: float = 0.2
@@ -24,3 +28,5 @@
     exposure_share: float = 0.1
     session_lifetime_ms: int = 300_000
     stop_ms: int = 8_000
+    drain_ms: int = 2_000
+    heartbeat_ms: int = 1_200
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/requests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/requests.py
@@ -29,6 +29,11 @@
     output_tokens: int
     blocks: tuple[PrefixBlock, ...]
 
+    @property
+    def size(self) -> int:
+        """Tokens of prompt and answer; a generated one counts ten times."""
+        return max(1, self.tokens + 10 * self.output_tokens)
+
     @property
     def affinity(self) -> str:
         """Id of the last block that other requests may share, '' if none."""
@@ -94,6 +99,7 @@
       streaming: Whether the answer is a stream of events.
       repeatable: Whether the request may run more than once.
       deadline_ms: When the attempt is abandoned.
+      server_started_ms: When the server's process started, by its own clock.
     """
 
     attempt_id: str
@@ -109,6 +115,7 @@
     streaming: bool
     repeatable: bool
     deadline_ms: int
+    server_started_ms: int = 0
 
 
 class AnswerHead(NamedTuple):
@@ -125,6 +132,9 @@
         reported none.
       keep_alive_ms: Idle timeout of the connection, None if unknown.
       streaming: Whether a stream of events follows.
+      leaving: Whether the server announces that it is about to end.
+      pause_ms: Time for which the server wants no requests, 0 for none.
+      malformed_pause: What the server sent instead of a time, '' if nothing.
     """
 
     status: int
@@ -135,6 +145,9 @@
     confidence: int | None
     keep_alive_ms: int | None
     streaming: bool
+    leaving: bool = False
+    pause_ms: int = 0
+    malformed_pause: str = ''
 
 
 class Answer(NamedTuple):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
@@ -51,6 +51,14 @@
 RETRY_MS = 400
 #: Phases in which a roll-out is over.
 FINAL: frozenset[Phase] = frozenset({'complete', 'reverted'})
+#: A roll-out never goes back from a phase to one of a lower rank.
+RANKS_BY_PHASE: dict[Phase, int] = {
+    'canary': 0,
+    'half': 1,
+    'all': 2,
+    'complete': 3,
+    'reverted': 3,
+}
 
 
 class Step(NamedTuple):
@@ -89,13 +97,15 @@
     Attributes:
       order: The order.
       step: The last step known, None before the first.
-      step_revision: Store revision of the step, 0 before the first.
+      stored_step: The step in the store, None if it has none.
+      step_revision: Store revision of that step, 0 if there is none.
       evidence: Evidence of this gateway.
       candidate_rejected: Whether the pooled evidence is bad; this gateway
         then sends nothing more to the candidate, whatever the store says.
       began_ms: When the order was given, as far as this gateway knows.
       fresh: Whether this gateway was running when the order was given.
       step_seen_ms: When this gateway learned of the step.
+      restored_ms: When the store was last restored from an older copy.
       call_deadline_ms: No call to the store is made before this time.
       status: Status for operators, as last seen in the store or written.
     """
@@ -105,12 +115,14 @@
     ) -> None:
         self.order = order
         self.step: Step | None = None
+        self.stored_step: Step | None = None
         self.step_revision = 0
         self.evidence = EvidenceCounter(order.revision)
         self.candidate_rejected = False
         self.began_ms = now_ms
         self.fresh = fresh
         self.step_seen_ms = now_ms
+        self.restored_ms = 0
         self.call_deadline_ms = 0
         self.status = b''
 
@@ -126,6 +138,30 @@
         """Whether the roll-out is over."""
         return self.step is not None and self.step.phase in FINAL
 
+    @property
+    def step_lost(self) -> bool:
+        """Whether the store lacks the step, since it was restored.
+
+        A step of a later order than the one known here is not overwritten.
+        """
+        if self.step is None or not self.restored_ms:
+            return False
+        stored = self.stored_step
+        if stored is None or stored.order < self.step.order:
+            return True
+        return stored.order == self.step.order and _falls_back(
+            stored.phase, self.step.phase
+        )
+
+    def rename_order(self, order: documents.RolloutOrder) -> None:
+        """Goes on under the revision at which the order was written again."""
+        self.order = order
+        self.evidence.counts = self.evidence.counts._replace(
+            order=order.revision
+        )
+        if self.step is not None:
+            self.step = self.step._replace(order=order.revision)
+
     def elapsed_ms(self, now_ms: int) -> int:
         """Returns the time since the order, as far as this gateway knows."""
         elapsed_ms = now_ms - self.began_ms
@@ -188,20 +224,55 @@
         return f'{self._formats.own_prefix}rollouts/{service}'
 
     def apply_order(
-        self, order: documents.RolloutOrder, now_ms: int, fresh: bool
-    ) -> None:
+        self,
+        order: documents.RolloutOrder,
+        now_ms: int,
+        fresh: bool,
+        may_be_old: bool = False,
+    ) -> bool:
         """Begins to follow an order, unless a newer one is known.
 
         Args:
           order: The order.
           now_ms: The time.
           fresh: Whether it was given just now.
+          may_be_old: Whether the store was restored from an older copy a
+            short time ago: an order like the one in force is that one, from
+            the copy or written again.
+        Returns: Whether it was not followed before.
         """
         track = self.tracks_by_service.get(order.service)
-        if track is None or track.order.revision < order.revision:
-            self.tracks_by_service[order.service] = RolloutTrack(
-                order, now_ms, fresh
-            )
+        if track is not None and track.order.revision >= order.revision:
+            return False
+        if track is not None and may_be_old and self.is_current(order):
+            track.rename_order(order)
+            return False
+        self.tracks_by_service[order.service] = RolloutTrack(
+            order, now_ms, fresh
+        )
+        return True
+
+    def is_current(self, order: documents.RolloutOrder) -> bool:
+        """Returns whether an order is like the one that is followed."""
+        track = self.tracks_by_service.get(order.service)
+        if track is None:
+            return False
+        return track.order._replace(revision=order.revision) == order
+
+    def on_store_restored(self, now_ms: int) -> None:
+        """Forgets what the store held before it was restored."""
+        for track in self.tracks_by_service.values():
+            track.restored_ms = now_ms
+            track.step_revision = 0
+            track.stored_step = None
+            track.status = b''
+
+    def forget_step(self, key: str) -> None:
+        """Records that a key was deleted, which may be that of a step."""
+        for service, track in self.tracks_by_service.items():
+            if key == self.step_key(service):
+                track.step_revision = 0
+                track.stored_step = None
 
     def drop_order(self, service: str) -> None:
         """Stops following an order that was deleted."""
@@ -222,17 +293,27 @@
         if track is None or entry.revision <= track.step_revision:
             return None
         track.step_revision = entry.revision
+        track.stored_step = step
         if step.order != track.order.revision or track.step == step:
             return None
+        if track.step is not None and _falls_back(
+            step.phase, track.step.phase
+        ):
+            return None
         track.step = step
         track.step_seen_ms = now_ms
         return step
 
-    def record_status(self, entry: platform.Found) -> None:
-        """Records the status for operators that was read from the store."""
+    def record_status(self, key: str, value: bytes) -> None:
+        """Records a status for operators that the store holds.
+
+        Args:
+          key: A key, which may be that of a status.
+          value: Its value, b'' if it was deleted.
+        """
         for service, track in self.tracks_by_service.items():
-            if entry.key == self._formats.rollout_status_key(service):
-                track.status = entry.value
+            if key == self._formats.rollout_status_key(service):
+                track.status = value
 
     def candidate_share(self, track: RolloutTrack) -> float:
         """Returns the share of new sessions that go to the candidate."""
@@ -393,8 +474,11 @@
         if due_phase is not None:
             return self._write_step(stamp, service, track, due_phase)
         delay_ms = position * STAND_IN_MS
-        if stamp.now_ms < track.step_seen_ms + delay_ms:
+        since_ms = max(track.step_seen_ms, track.restored_ms)
+        if stamp.now_ms < since_ms + delay_ms:
             return []
+        if track.step_lost:
+            return self._write_step(stamp, service, track, track.phase)
         phase = 'running' if not track.final else track.phase
         value = self._formats.write_rollout_status(track.order, phase)
         if track.status == value:
@@ -487,3 +571,8 @@
     ) -> list[Any]:
         deadline_ms = stamp.now_ms + CALL_TIMEOUT_MS
         return self._calls.call(stamp, OWNER, tag, call, deadline_ms)
+
+
+def _falls_back(phase: Phase, known: Phase) -> bool:
+    """Returns whether a phase is earlier than the one that is known."""
+    return RANKS_BY_PHASE[phase] < RANKS_BY_PHASE[known]
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/routes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/routes.py
@@ -1,8 +1,6 @@
 """Routing table: finds the route of a request and the owner of its key."""
 
 import bisect
-from typing import NamedTuple
-
 import xxhash
 
 from ragwortgw_gateway import documents
@@ -15,13 +13,6 @@
     return xxhash.xxh64_intdigest(text.encode()) / MAX_HASH
 
 
-class TimeBounds(NamedTuple):
-    """The shortest objective and timeout of several routes, in ms."""
-
-    objective_ms: int
-    timeout_ms: int
-
-
 class RouteTable:
     """Routes and keys of one configuration, indexed for look-ups.
 
@@ -41,13 +32,15 @@
             for key in organisation.keys
         }
         self.requires_key = bool(configuration.organisations)
-        self._bounds_by_service_rank: dict[tuple[str, int], TimeBounds] = {}
+        self._routes_by_service: dict[str, list[documents.Route]] = {}
         for route in configuration.routes:
             for target in route.targets:
-                self._tighten((target.service, route.priority), route)
+                self._routes_by_service.setdefault(target.service, []).append(
+                    route
+                )
 
-    def strictest_bounds(self, service: str, rank: int) -> TimeBounds | None:
-        """Returns the shortest limits of a service's routes up to a rank.
+    def routes_up_to(self, service: str, rank: int) -> list[documents.Route]:
+        """Returns the routes of a service that are at least as urgent.
 
         Less urgent requests have to leave capacity for more urgent ones, so
         that the limits of those apply to them as well.
@@ -55,30 +48,12 @@
         Args:
           service: The service.
           rank: The least urgent rank that counts.
-        Returns: The limits, None if the service has no such route.
         """
-        applicable = [
-            bounds
-            for (
-                route_service,
-                priority,
-            ), bounds in self._bounds_by_service_rank.items()
-            if route_service == service and priority <= rank
+        return [
+            route
+            for route in self._routes_by_service.get(service, ())
+            if route.priority <= rank
         ]
-        if not applicable:
-            return None
-        return TimeBounds(
-            min(bounds.objective_ms for bounds in applicable),
-            min(bounds.timeout_ms for bounds in applicable),
-        )
-
-    def _tighten(self, key: tuple[str, int], route: documents.Route) -> None:
-        """Lowers the limits of a (service, rank) to those of a route."""
-        known = self._bounds_by_service_rank.get(key)
-        bounds = TimeBounds(route.objective_ms, route.timeout_ms)
-        if known is not None:
-            bounds = TimeBounds(*map(min, known, bounds))
-        self._bounds_by_service_rank[key] = bounds
 
     def match(self, host: str, path: str) -> documents.Route | None:
         """Finds the route with the longest prefix of a path.
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/selection.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/selection.py
@@ -2,17 +2,20 @@
 
 from ragwortgw_core import events
 from ragwortgw_gateway import admission
+from ragwortgw_gateway import batching
 from ragwortgw_gateway import documents
 from ragwortgw_gateway import gateway_state
 from ragwortgw_gateway import placement
 from ragwortgw_gateway import requests
 from ragwortgw_gateway import rollouts
-from ragwortgw_gateway import routes
 from ragwortgw_gateway import tiers
 
 #: Retries that are reserved for failures; a cascade to a larger model must
 #: not take them out of the retry budget.
 RESERVED_RETRIES = 4.0
+#: Fraction of the time in which requests may reach a server that announced
+#: its leaving for which it gets requests if no other server is left.
+LEAVING_FRACTION = 0.5
 #: A gateway that has just started does not know which version serves which
 #: session; during a canary it sends unknown sessions to the baseline for
 #: this long.
@@ -42,7 +45,7 @@
         server_choice = choose_server(state, stamp, active, smaller, servers)
         if (
             server_choice is not None
-            and admission.excess_ms(required, server_choice) <= 0
+            and admission.pressure(required, server_choice).value <= 1
         ):
             return smaller, server_choice
     return None
@@ -55,21 +58,54 @@
 ) -> admission.Requirements:
     """Returns the time limits and the priority of a request."""
     route = active.route
-    bounds = None
+    urgent_routes = [route]
     if state.table is not None:
-        bounds = state.table.strictest_bounds(active.service, route.priority)
-    if bounds is None:
-        bounds = routes.TimeBounds(route.objective_ms, route.timeout_ms)
+        urgent_routes += state.table.routes_up_to(
+            active.service, route.priority
+        )
+    objective_ms = min(each.objective_ms for each in urgent_routes)
+    urgent_share = _urgent_share(state, stamp, active)
+    if state.refusal_history.is_retry(
+        active.request.fingerprint, stamp.now_ms
+    ):
+        # It came back when it was told to, and does not give way again.
+        urgent_share = 0.0
     waited_ms = stamp.now_ms - active.request.received_ms
     return admission.Requirements(
-        route.priority,
-        max(0, bounds.objective_ms - waited_ms),
-        bounds.timeout_ms,
+        max(0, objective_ms - waited_ms),
         active.deadline_ms - stamp.now_ms,
-        state.refusal_history.is_retry(
-            active.request.fingerprint, stamp.now_ms
-        ),
+        urgent_share,
+        state.waits.factor(active.queue, stamp.now_ms),
+        _stream_needs(state, stamp, urgent_routes),
+    )
+
+
+def _urgent_share(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.ActiveRequest,
+) -> float:
+    """Returns the fraction of time that more urgent prefill takes."""
+    servers = available_servers(state, stamp, active.service)
+    rate = state.demand.urgent_rate(
+        active.service, active.route.priority, stamp.now_ms
     )
+    return rate / max(1, len(servers))
+
+
+def _stream_needs(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    urgent_routes: list[documents.Route],
+) -> tuple[batching.StreamNeed, ...]:
+    """Returns what the streams of some routes need, as far as it is known."""
+    needs = []
+    for route in urgent_routes:
+        streams = state.latency.route_streams(route.id, stamp.now_ms)
+        if streams is not None:
+            limit_ms = max(1, route.timeout_ms - route.objective_ms)
+            needs.append(batching.StreamNeed(*streams, limit_ms))
+    return tuple(needs)
 
 
 def choose_model(
@@ -110,6 +146,14 @@
     )
 
 
+def available_servers(
+    state: gateway_state.State, stamp: events.Stamp, service: str
+) -> list[documents.BackendServer]:
+    """Returns the servers of a service that may get a request now."""
+    leaving_ms = round(LEAVING_FRACTION * state.options.drain_ms)
+    return state.fleet.available_servers(service, stamp.now_ms, leaving_ms)
+
+
 def choose_version(
     state: gateway_state.State,
     stamp: events.Stamp,
@@ -120,7 +164,7 @@
     Returns: Whether the candidate is to serve the request (None if no
       roll-out is known), and the servers of the selected version.
     """
-    servers = state.fleet.available_servers(active.service)
+    servers = available_servers(state, stamp, active.service)
     track = state.rollouts.tracks_by_service.get(active.service)
     if track is None:
         return None, servers
@@ -165,10 +209,12 @@
     """Selects the server of the next attempt, None if none is available."""
     return state.server_selector.choose(
         active.request,
+        active.route,
         '' if model_choice is None else model_choice.model,
         servers,
         active.excluded_servers,
         state.service(active.service),
         stamp.now_ms,
         stamp.seed,
+        state.fleet.leaving_ids,
     )
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/store_changes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_changes.py
@@ -3,6 +3,12 @@
 Changes come from the store itself or are relayed by a peer. They concern the
 configuration, orders and steps of roll-outs, registrations of backend
 servers, and addresses of other gateways.
+
+A store that was restored from an older copy holds what is out of date until
+its writers have written again what it lost. Nothing in force is undone in
+that time: registrations that had been deleted, orders that differ from those
+in force and deletions of orders are applied at its end, if the store still
+says so. A configuration is never replaced by one of a lower version.
 """
 
 from typing import Any
@@ -27,6 +33,10 @@
 #: Registrations that are deleted within this time after an outage of the
 #: store may have lapsed in the outage and be renewed soon.
 REGISTRATION_RETURN_MS = 2_500
+#: Heartbeats without which the store deletes a registration.
+LAPSE_HEARTBEATS = 3
+#: After a restore of the store, gateways register again within this time.
+REGISTER_SPREAD_MS = 1_000
 
 
 @NOTICES.handles(notices.StoreLost)
@@ -49,6 +59,67 @@
     return [core_effects.Record('store-regained', fields)]
 
 
+@NOTICES.handles(notices.StoreRestored)
+def on_store_restored(
+    state: State, stamp: core_events.Stamp, notice: notices.StoreRestored
+) -> list[Any]:
+    """Begins the time in which the store may hold what is out of date.
+
+    Servers that live have registered again by LAPSE_GRACE_MS. Registrations
+    of servers that left before are deleted once nobody renewed them.
+    """
+    state.restored_ms = stamp.now_ms
+    state.settle_deadline_ms = (
+        stamp.now_ms
+        + fleet.LAPSE_GRACE_MS
+        + LAPSE_HEARTBEATS * state.options.heartbeat_ms
+    )
+    state.link.register_again(stamp.now_ms + stamp.seed % REGISTER_SPREAD_MS)
+    state.rollouts.on_store_restored(stamp.now_ms)
+    fields = {
+        'epoch': notice.epoch,
+        'before': notice.before,
+        'second_hand': notice.relayed,
+        'configuration': state.version,
+        'servers': len(state.fleet.servers_by_id),
+        'settles_in_ms': state.settle_deadline_ms - stamp.now_ms,
+    }
+    return [
+        core_effects.Record('store-restored', fields),
+        core_effects.LogChange('store was restored from a copy', fields),
+        core_effects.Count('gateway_store_restores', ()),
+    ]
+
+
+def settling(state: State, now_ms: int) -> bool:
+    """Returns whether the store may hold what is out of date."""
+    return now_ms < state.settle_deadline_ms
+
+
+def on_tick(state: State, stamp: core_events.Stamp) -> list[Any]:
+    """Applies what was held back once a restored store has settled."""
+    if not state.settle_deadline_ms or settling(state, stamp.now_ms):
+        return []
+    state.settle_deadline_ms = 0
+    values = state.values.found
+    formats = state.formats
+    outputs: list[Any] = [core_effects.Record('store-settled', {})]
+    for prefix, apply in (
+        (formats.operator_prefix, _apply_operator_values),
+        (formats.server_prefix, _apply_registrations),
+    ):
+        written = tuple(
+            entry for entry in values if entry.key.startswith(prefix)
+        )
+        notice = notices.PrefixChanged(prefix, written, (), False)
+        outputs += apply(state, stamp, notice)
+    orders = [formats.read_order(entry) for entry in values]
+    services = {order.service for order in orders if order is not None}
+    for service in state.rollouts.tracks_by_service.keys() - services:
+        state.rollouts.drop_order(service)
+    return outputs
+
+
 @NOTICES.handles(notices.PrefixChanged)
 def on_prefix_changed(
     state: State, stamp: core_events.Stamp, notice: notices.PrefixChanged
@@ -58,7 +129,9 @@
         state.has_unshared_changes = True
         state.digest_deadline_ms = stamp.now_ms
     for entry in notice.written:
-        state.rollouts.record_status(entry)
+        state.rollouts.record_status(entry.key, entry.value)
+    for key in notice.deleted:
+        state.rollouts.record_status(key, b'')
     return [
         *_apply_gateway_values(
             state, stamp, _changes_under(notice, formats.own_prefix)
@@ -92,6 +165,7 @@
 ) -> list[Any]:
     """Applies the configuration and orders of roll-outs."""
     outputs: list[Any] = []
+    held_back = settling(state, stamp.now_ms)
     # Orders that are read just after the start may be old.
     fresh = stamp.now_ms - state.started_ms > selection.LEARNING_MS
     for entry in notice.written:
@@ -102,15 +176,22 @@
         if order is None:
             outputs.append(_record_unreadable(entry))
             continue
-        state.rollouts.apply_order(order, stamp.now_ms, fresh)
+        if held_back and not state.rollouts.is_current(order):
+            fields = {**order._asdict(), 'second_hand': notice.relayed}
+            outputs.append(core_effects.Record('rollout-order-held', fields))
+            continue
+        if not state.rollouts.apply_order(
+            order, stamp.now_ms, fresh, held_back
+        ):
+            continue
         # The step and the status may have arrived before the order.
         for known in state.values.found:
-            state.rollouts.record_status(known)
+            state.rollouts.record_status(known.key, known.value)
             if known.key.startswith(state.formats.own_prefix):
                 state.rollouts.apply_step(known, stamp.now_ms)
         fields = {**order._asdict(), 'second_hand': notice.relayed}
         outputs.append(core_effects.Record('rollout-ordered', fields))
-    for key in notice.deleted:
+    for key in () if held_back else notice.deleted:
         state.rollouts.drop_order(key.rpartition('/')[2])
     return outputs
 
@@ -128,11 +209,13 @@
     if current is not None and current.version >= configuration.version:
         return []
     state.configuration = configuration
+    state.configuration_value = entry
     state.table = routes.RouteTable(configuration)
     fields = {
         'version': configuration.version,
         'before': 0 if current is None else current.version,
-        'store_revision': entry.revision,
+        'store_epoch': platform.epoch_of(entry.revision),
+        'store_revision': platform.number_of(entry.revision),
         'second_hand': notice.relayed,
     }
     return [
@@ -141,6 +224,26 @@
     ]
 
 
+def apply_retained(
+    state: State,
+    stamp: core_events.Stamp,
+    retained: tuple[platform.Found, ...],
+) -> list[Any]:
+    """Applies what a peer has in force and the restored store has lost.
+
+    Args:
+      state: The gateway.
+      stamp: Time and random seed.
+      retained: Values in force at the peer.
+    """
+    outputs: list[Any] = []
+    for entry in retained:
+        if entry.key == state.formats.configuration_key:
+            notice = notices.PrefixChanged(entry.key, (entry,), (), True)
+            outputs += _apply_configuration(state, stamp, entry, notice)
+    return outputs
+
+
 def _apply_registrations(
     state: State, stamp: core_events.Stamp, notice: notices.PrefixChanged
 ) -> list[Any]:
@@ -159,7 +262,7 @@
         else:
             servers.append(server)
     changes = [
-        state.fleet.register(servers),
+        state.fleet.register(servers, settling(state, stamp.now_ms)),
         state.fleet.deregister(unreadable),
     ]
     deleted = [key[len(notice.prefix) :] for key in notice.deleted]
@@ -175,9 +278,10 @@
 ) -> int:
     """Returns when deleted registrations are removed from the fleet.
 
-    During and just after an outage of the store, registrations may only
-    have lapsed and be renewed soon. A gateway that can't reach a healthy
-    store relies on its peers: they report whether the store had an outage.
+    During and just after an outage or a restore of the store, registrations
+    may only have lapsed, or be lost, and be renewed soon. A gateway that
+    can't reach a healthy store relies on its peers: they report whether the
+    store had an outage.
 
     Returns: The time, 0 for at once.
     """
@@ -188,9 +292,10 @@
         return state.lapse_deadline_ms
     if not state.link.reachable:
         return stamp.now_ms + REGISTRATION_RETURN_MS + fleet.LAPSE_GRACE_MS
-    since_ms = stamp.now_ms - state.link.recovered_ms
-    if state.link.recovered_ms and since_ms < REGISTRATION_RETURN_MS:
-        return state.link.recovered_ms + fleet.LAPSE_GRACE_MS
+    returned_ms = max(state.link.recovered_ms, state.restored_ms)
+    since_ms = stamp.now_ms - returned_ms
+    if returned_ms and since_ms < REGISTRATION_RETURN_MS:
+        return returned_ms + fleet.LAPSE_GRACE_MS
     return 0
 
 
@@ -215,6 +320,8 @@
     for key in notice.deleted:
         if key.startswith(hosts_prefix):
             state.peer_addresses_by_id.pop(key[len(hosts_prefix) :], None)
+        else:
+            state.rollouts.forget_step(key)
     return outputs
 
 
@@ -230,5 +337,9 @@
 
 
 def _record_unreadable(entry: platform.Found) -> core_effects.Record:
-    fields = {'key': entry.key, 'revision': entry.revision}
+    fields = {
+        'key': entry.key,
+        'epoch': platform.epoch_of(entry.revision),
+        'revision': platform.number_of(entry.revision),
+    }
     return core_effects.Record('value-unreadable', fields)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/store_link.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_link.py
@@ -77,6 +77,16 @@
         self._call_pending = True
         return self._call(stamp, platform.Revoke(self._lease))
 
+    def register_again(self, due_ms: int) -> None:
+        """Makes the link register the gateway anew.
+
+        Args:
+          due_ms: When; gateways that do so together choose different times.
+        """
+        self._registered = False
+        self._revision = 0
+        self._call_deadline_ms = due_ms
+
     def probe(self, stamp: events.Stamp) -> list[Any]:
         """Makes a probe due at the next tick, after another call failed.
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/store_watch.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_watch.py
@@ -3,6 +3,9 @@
 The prefix is listed once and then watched from revision to revision. A watch
 that is waiting while the store compacts its history may miss changes without
 an error; so watches are short, and the prefix is listed again periodically.
+After the store was restored from an older copy, everything is listed again;
+what is known from before, and answers that still come from there, are older
+than anything in the restored store.
 """
 
 from typing import Any
@@ -102,6 +105,11 @@
             lapse_ms,
         )
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the store that the values are from."""
+        return platform.epoch_of(self.revision)
+
     def get(self, key: str) -> platform.Found | None:
         """Returns the present value of a key, None if it has none."""
         return self._entries_by_key.get(key)
@@ -177,6 +185,13 @@
             return []
         self._retry_ms = FIRST_RETRY_MS
         self._call_deadline_ms = stamp.now_ms
+        if isinstance(result, platform.Listed | platform.Changes):
+            epoch = platform.epoch_of(result.revision)
+            if self.revision and epoch < self.epoch:
+                return []
+            if self.revision and epoch > self.epoch and not self._must_list:
+                self._must_list = True
+                return []
         self.store_confirmed_ms = stamp.now_ms
         if isinstance(result, platform.Compacted):
             self._must_list = True
@@ -213,6 +228,10 @@
             registrations may still be renewed; 0 if deletions are final.
         """
         self.confirmed_ms = stamp.now_ms
+        outputs: list[Any] = []
+        epoch = platform.epoch_of(listed.revision)
+        if self.revision and epoch > self.epoch:
+            outputs = [notices.StoreRestored(self.epoch, epoch, relayed)]
         self.revision = listed.revision
         self._reported_revision = 0
         self.changed_revision = max(
@@ -230,9 +249,10 @@
         )
         deleted = tuple(before_by_key.keys() - self._entries_by_key.keys())
         return [
+            *outputs,
             notices.PrefixChanged(
                 self.prefix, written, deleted, relayed, lapse_ms
-            )
+            ),
         ]
 
     def _certain_revision(self, changes: platform.Changes) -> int:
--- a/packages/ragwortgw-gateway/tests/test_gauges.py
+++ b/packages/ragwortgw-gateway/tests/test_gauges.py
@@ -5,6 +5,7 @@
 from ragwortgw_gateway import events
 from ragwortgw_gateway import gauges
 from ragwortgw_gateway import options
+from ragwortgw_gateway import queue_waits
 from tests import harness
 
 
@@ -45,6 +46,33 @@
         self.assertEqual(1.0, values['gateway_requests_waiting', '1'])
         self.assertEqual(40.0, values['gateway_oldest_waiting_ms', '1'])
 
+    def test_requests_without_an_answer_by_route(self):
+        first = self.driver.arrive('r1', 'draft')
+        self.driver.arrive('r2', 'draft')
+        metric = 'gateway_requests_unanswered'
+        self.assertEqual(2.0, self.collect_gauges()[metric, 'draft'])
+        self.driver.receive_answer_head(first, confidence=90)
+        self.assertEqual(1.0, self.collect_gauges()[metric, 'draft'])
+
+    def test_share_served_of_routes_and_organisations(self):
+        dispatch = self.driver.arrive('r1', 'draft')
+        self.assertIsNotNone(dispatch)
+        values = self.collect_gauges()
+        metric = 'gateway_share_served'
+        self.assertEqual(1.0, values[metric, 'proofs', 'route', 'draft'])
+        kinds = {key[2] for key in values if key[0] == metric}
+        self.assertEqual({'route', 'organisation'}, kinds)
+
+    def test_factor_of_the_waits(self):
+        state = self.driver.state
+        queue = queue_waits.Queue('proofs', 'draft', 5)
+        state.waits.observe(
+            queue, 5_000, 0.0, 3_000.0, True, self.driver.now_ms
+        )
+        values = self.collect_gauges()
+        metric = 'gateway_wait_factor'
+        self.assertEqual(4.0, values[metric, 'proofs', 'draft', '5'])
+
     def test_state_of_each_server(self):
         dispatch = self.driver.arrive('r1')
         self.driver.reduce(events.ServersHeard((dispatch.server_id,)))
--- a/packages/ragwortgw-gateway/tests/test_store_watch.py
+++ b/packages/ragwortgw-gateway/tests/test_store_watch.py
@@ -2,6 +2,7 @@
 
 from ragwortgw_core import platform
 from ragwortgw_gateway import digests
+from ragwortgw_gateway import notices
 from ragwortgw_gateway import store_watch
 from tests import store_case
 
@@ -137,3 +138,59 @@
         view = self.watch.view_since(5, 0)
         self.assertEqual(((), ('a',)), (view.newer, view.keys))
         self.assertEqual(1, len(self.watch.view_since(4, 0).newer))
+
+
+class EarlierEpochTest(store_case.StoreCase):
+    """Answers that were on their way when the store was restored."""
+
+    def setUp(self):
+        super().setUp()
+        self.watch = store_watch.PrefixWatch(self.calls, '', 'k')
+        self.component = self.watch
+        self.tick()
+        self.answer_oldest(platform.Listed('', (self.found(0, 5),), 5))
+
+    def found(self, epoch, number, key='a'):
+        revision = platform.revision_in_epoch(epoch, number)
+        return platform.Found(key, b'x', revision)
+
+    def learn_of_restore(self):
+        """Gets the restored store's values from a peer."""
+        found = self.found(1, 2)
+        view = digests.StoreView(found.revision, (found,), ('a',), 0)
+        self.watch.merge_view(self.stamp(), view)
+        self.assertEqual(1, self.watch.epoch)
+
+    def test_late_changes_are_ignored(self):
+        self.tick()
+        self.learn_of_restore()
+        changes = (platform.Found('k1', b'lost', 9),)
+        outputs = self.answer_oldest(platform.Changes('', changes, 9))
+        self.assertEqual([], outputs)
+        self.assertIsNone(self.watch.get('k1'))
+
+    def test_late_list_is_ignored(self):
+        self.tick(store_watch.RELIST_INTERVAL_MS)
+        self.learn_of_restore()
+        found = (platform.Found('k1', b'lost', 9),)
+        outputs = self.answer_oldest(platform.Listed('k', found, 9))
+        self.assertEqual([], outputs)
+        self.assertIsNone(self.watch.get('k1'))
+
+    def test_list_of_a_part_in_a_later_epoch_leads_to_a_whole_one(self):
+        self.tick(store_watch.RELIST_INTERVAL_MS)
+        found = (self.found(1, 4, 'k1'),)
+        listed = platform.Listed('k', found, found[0].revision)
+        self.assertEqual([], self.answer_oldest(listed))
+        self.assertEqual([platform.List('')], self.tick())
+
+    def test_later_epoch_is_reported_before_its_values(self):
+        self.tick()
+        self.answer_oldest(platform.Compacted(''))
+        self.tick()
+        found = self.found(2, 1)
+        restored, changed = self.answer_oldest(
+            platform.Listed('', (found,), found.revision)
+        )
+        self.assertEqual(notices.StoreRestored(0, 2, False), restored)
+        self.assertEqual((found,), changed.written)
--- a/packages/ragwortgw-gateway/tests/test_store_watch_soak.py
+++ b/packages/ragwortgw-gateway/tests/test_store_watch_soak.py
@@ -2,6 +2,8 @@
 
 Plays random changes, faults, restarts and fetches between gateways; a
 gateway must never miss a change up to the revision that it claims to hold.
+With restores of the store from older copies, it must never take a value of
+an earlier epoch for a later one, and hold what the store holds in the end.
 """
 
 import random
@@ -37,6 +39,27 @@
             self.values_by_key[key] = change
         self.changes.append(change)
 
+    def restore(self, rng):
+        """Goes back to an older copy; its revisions are given out again."""
+        number = platform.number_of(self.revision)
+        epoch = platform.epoch_of(self.revision) + 1
+        kept = rng.randrange(max(1, number - 12), number + 1)
+        self.revision = platform.revision_in_epoch(epoch, kept)
+        self.changes = [
+            change._replace(
+                revision=platform.revision_in_epoch(
+                    epoch, platform.number_of(change.revision)
+                )
+            )
+            for change in self.changes
+            if platform.number_of(change.revision) <= kept
+        ]
+        self.values_by_key = {}
+        for change in self.changes:
+            self.values_by_key[change.key] = change
+            if isinstance(change, platform.Absent):
+                del self.values_by_key[change.key]
+
     def last_change(self, key):
         changes = [each for each in self.changes if each.key == key]
         return changes[-1] if changes else None
@@ -52,6 +75,8 @@
         self.now_ms = 0
         self.pending = []
         self.pages = []
+        #: A call whose answer is on its way, and that answer.
+        self.late_answer = None
 
     def stamp(self):
         return events.Stamp(self.now_ms, 0)
@@ -127,6 +152,104 @@
                 test.assertIsNone(held, (last, held))
 
 
+class RestoredFollower(Follower):
+    """A gateway whose store may be restored while answers are on their way."""
+
+    def send_answer(self):
+        """Has the store answer the oldest call; the answer arrives later."""
+        if self.late_answer is None and self.pending:
+            call = self.pending[0].call
+            result = self.store_answer(call)
+            self.late_answer = (self.pending.pop(0), result)
+
+    def store_answer(self, call):
+        if isinstance(call, platform.List):
+            found = tuple(
+                each
+                for key, each in sorted(self.store.values_by_key.items())
+                if key.startswith(call.prefix)
+            )
+            return platform.Listed(call.prefix, found, self.store.revision)
+        epoch = platform.epoch_of(self.store.revision)
+        if platform.epoch_of(call.revision) != epoch:
+            return platform.Compacted('')
+        changes = tuple(
+            change
+            for change in self.store.changes
+            if change.revision > call.revision
+        )
+        return platform.Changes('', changes, self.store.revision)
+
+    def receive_answer(self):
+        if self.late_answer is not None:
+            (effect, result), self.late_answer = self.late_answer, None
+            self.calls.on_answer(self.stamp(), effect.op_id, result)
+
+    def check(self, test):
+        epoch = platform.epoch_of(self.store.revision)
+        if self.watch.epoch == epoch:
+            super().check(test)
+        for key in KEYS:
+            held = self.watch.get(key)
+            if held is not None:
+                test.assertEqual(
+                    self.watch.epoch, platform.epoch_of(held.revision)
+                )
+
+
+class RestoreSoakTest(unittest.TestCase):
+    def play(self, seed):
+        rng = random.Random(seed)
+        store = StoreModel()
+        followers = [RestoredFollower(store) for _ in range(3)]
+        fetches = []
+        epochs = [0, 0, 0]
+        for _ in range(300):
+            follower = rng.choice(followers)
+            action = rng.random()
+            if action < 0.2:
+                store.change(rng)
+            elif action < 0.4:
+                follower.tick(rng.choice((10, 50, 200, 2_000)))
+            elif action < 0.52:
+                follower.send_answer()
+            elif action < 0.62:
+                follower.receive_answer()
+            elif action < 0.66:
+                store.restore(rng)
+            elif action < 0.68:
+                follower.watch.restart()
+            elif action < 0.84:
+                peer = rng.choice(followers)
+                view = peer.watch.view_since(follower.watch.revision, 0)
+                fetches.append((follower, view))
+            elif fetches:
+                fetcher, view = fetches.pop(rng.randrange(len(fetches)))
+                fetcher.watch.merge_view(fetcher.stamp(), view)
+            for each in followers:
+                each.check(self)
+            after = [each.watch.epoch for each in followers]
+            self.assertTrue(
+                all(a >= b for a, b in zip(after, epochs, strict=True))
+            )
+            epochs = after
+        self.assert_all_hold_what_the_store_holds(store, followers)
+
+    def assert_all_hold_what_the_store_holds(self, store, followers):
+        for follower in followers:
+            for _ in range(40):
+                follower.receive_answer()
+                follower.tick(500)
+                follower.send_answer()
+            held = {each.key: each for each in follower.watch.found}
+            self.assertEqual(store.values_by_key, held)
+
+    def test_gateways_follow_a_store_that_is_restored(self):
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                self.play(seed)
+
+
 class PrefixWatchSoakTest(unittest.TestCase):
     def play(self, seed):
         rng = random.Random(seed)
--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -1,6 +1,7 @@
 """Attempts at backend servers: sends them and relays their answers."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import logging
 from typing import Any
@@ -9,6 +10,7 @@
 
 from ragwortgw_core import errors
 from ragwortgw_gateway import events
+from ragwortgw_gateway import fleet
 from ragwortgw_gateway import requests
 from ragwortgw_server import backend_channels
 from ragwortgw_server import clock
@@ -71,6 +73,8 @@
 
     Attributes:
       heard: Servers from which something came since this was cleared.
+      advanced: Events of streams in progress that came since this was
+        cleared, without the first ones, by attempt.
     """
 
     def __init__(
@@ -87,6 +91,7 @@
         self._calls_by_id: dict[str, _Call] = {}
         self.pool = backend_channels.ChannelPool(loop)
         self.heard: set[str] = set()
+        self.advanced: collections.Counter[str] = collections.Counter()
 
     def send(self, dispatch: requests.Dispatch) -> None:
         """Sends an attempt; its events follow."""
@@ -129,6 +134,26 @@
             events.AttemptBroke(attempt_id, 'silent', 'unknown', last_event)
         )
 
+    def withdraw_unsent(self, server_id: str) -> None:
+        """Gives the attempts up that wait for a connection to a server.
+
+        AttemptBroke follows for each: a request must not reach the server
+        after it asked for a pause.
+        """
+        unsent = [
+            attempt_id
+            for attempt_id, call in self._calls_by_id.items()
+            if call.dispatch.server_id == server_id and call.channel is None
+        ]
+        for attempt_id in unsent:
+            last_event = self._callers.last_event(
+                self._calls_by_id[attempt_id].request.id
+            )
+            self.cancel(attempt_id)
+            self._on_event(
+                events.AttemptBroke(attempt_id, 'paused', 'no', last_event)
+            )
+
     def close(self) -> None:
         """Gives all attempts up and closes all connections."""
         for attempt_id in list(self._calls_by_id):
@@ -227,11 +252,30 @@
                 return
             assert channel.head is not None
             head = self._protocol.read_head(channel.head)
+            self._announce(call, head)
             if not head.request_id or head.request_id == call.request.id:
                 call.head = head
                 return
             await channel.skip_response()
 
+    def _announce(self, call: _Call, head: requests.AnswerHead) -> None:
+        """Passes on what a server says of itself, with whatever answer.
+
+        An answer by another server at the address says nothing of this one.
+        """
+        if head.other_server:
+            return
+        if not (head.leaving or head.pause_ms or head.malformed_pause):
+            return
+        process = fleet.ServerProcess(
+            call.dispatch.server_id, call.dispatch.server_started_ms
+        )
+        self._on_event(
+            events.ServerAnnounced(
+                process, head.leaving, head.pause_ms, head.malformed_pause
+            )
+        )
+
     def _http_call(self, call: _Call) -> http_channel.Call:
         request = call.request
         dispatch = call.dispatch
@@ -275,6 +319,8 @@
                 self._on_event(
                     events.AttemptAnswered(call.dispatch.attempt_id, call.head)
                 )
+            elif found:
+                self.advanced[call.dispatch.attempt_id] += len(found)
             if call.dispatch.attempt_id not in self._calls_by_id:
                 raise _Broken('reset', 'unknown')
             if call.delivering:
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
@@ -64,6 +64,12 @@
     process.calls.pool.drop(effect.server_id)
 
 
+@applies(effects.PauseServer)
+def apply_pause(process: Any, effect: effects.PauseServer) -> None:
+    """Withdraws the attempts at a backend server that are not sent yet."""
+    process.calls.withdraw_unsent(effect.server_id)
+
+
 @applies(effects.LimitCallers)
 def apply_limits(process: Any, effect: effects.LimitCallers) -> None:
     """Puts limits on callers into force."""
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
@@ -49,11 +49,14 @@
     {
         'configuration',
         'rollout-candidate-bad',
+        'rollout-order-held',
         'rollout-ordered',
         'rollout-phase',
         'rollout-step',
         'rollout-step-written',
         'server',
+        'server-pause-ignored',
+        'server-paused',
         'server-suspended',
         'settings-refused',
         'settings-reloaded',
@@ -62,6 +65,8 @@
         'stopping',
         'store-lost',
         'store-regained',
+        'store-restored',
+        'store-settled',
         'value-unreadable',
     }
 )
@@ -250,11 +255,17 @@
         self.start_ticks()
 
     def start_ticks(self) -> None:
-        """Passes on which servers were heard, then ticks."""
+        """Passes on which servers sent data and streams advanced; ticks."""
         if self.calls.heard:
             server_ids = tuple(self.calls.heard)
             self.calls.heard.clear()
             self.emit(events.ServersHeard(server_ids))
+        if self.calls.advanced:
+            advances = tuple(
+                events.Advance(*item) for item in self.calls.advanced.items()
+            )
+            self.calls.advanced.clear()
+            self.emit(events.StreamsAdvanced(advances))
         self._observe_lag()
         super().start_ticks()
 
--- /dev/null
+++ b/packages/ragwortgw-server/tests/test_backend_calls.py
@@ -0,0 +1,159 @@
+"""Tests of attempts at backend servers, with a scripted connection."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from ragwortgw_gateway import events
+from ragwortgw_gateway import fleet
+from ragwortgw_gateway import requests
+from ragwortgw_server import backend_calls
+
+
+class ScriptedChannel:
+    """A connection on which an answer arrives piece by piece."""
+
+    failure = None
+    head = object()
+
+    def __init__(self, pieces):
+        self._pieces = list(pieces)
+
+    def send(self, call):
+        pass
+
+    async def wait_head(self):
+        pass
+
+    async def next_piece(self):
+        await asyncio.sleep(0)
+        return self._pieces.pop(0) if self._pieces else b''
+
+
+class BackendCallsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.events = []
+        loop = mock.MagicMock()
+        loop.spawn = lambda coroutine, name: asyncio.ensure_future(coroutine)
+        self.callers = mock.Mock()
+        self.callers.request.return_value = mock.Mock(id='r')
+        self.callers.last_event.return_value = 0
+        self.callers.drained = mock.AsyncMock()
+        protocol = self.protocol = mock.Mock()
+        protocol.read_head.return_value = requests.AnswerHead(
+            200, (), 'r', False, False, None, None, True
+        )
+        self.calls = backend_calls.BackendCalls(
+            loop, protocol, self.callers, self.on_event
+        )
+        self.calls.pool = mock.Mock()
+
+    def on_event(self, event):
+        self.events.append(event)
+        if isinstance(event, events.AttemptAnswered):
+            self.calls.deliver(event.attempt_id)
+
+    async def play(self, *pieces):
+        """Plays one attempt whose answer arrives in these pieces."""
+        channel = ScriptedChannel(pieces)
+        self.calls.pool.kept.return_value = channel
+        dispatch = requests.Dispatch(
+            'r.1', 'r', 's', '', 4, '', 'small', 0, '', 0, True, True, 9_000
+        )
+        self.calls.send(dispatch)
+        while not isinstance(
+            self.events and self.events[-1],
+            events.AttemptEnded | events.AttemptBroke,
+        ):
+            await asyncio.sleep(0)
+
+    async def test_events_after_the_first_ones_are_counted_by_attempt(self):
+        await self.play(
+            b'id: 1\ndata: a\n\n',
+            b'id: 2\ndata: b\n\nid: 3\ndata: c\n\n',
+            b'id: 4\nda',
+            b'ta: d\n\n',
+        )
+        self.assertEqual({'r.1': 3}, dict(self.calls.advanced))
+        self.assertEqual(4, self.events[-1].events)
+
+    def dispatch(self, attempt_id):
+        """Sends a plain attempt to the server 's'."""
+        dispatch = requests.Dispatch(
+            attempt_id,
+            'r',
+            's',
+            '',
+            4,
+            '',
+            '',
+            None,
+            '',
+            0,
+            False,
+            False,
+            9,
+            7,
+        )
+        self.calls.send(dispatch)
+
+    async def test_attempt_without_a_connection_is_withdrawn(self):
+        opening = asyncio.Event()
+        closed = []
+
+        async def open_channel(*arguments):
+            opening.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                closed.append(True)
+
+        self.calls.pool.kept.return_value = None
+        self.calls.pool.open = open_channel
+        self.dispatch('r.1')
+        await opening.wait()
+        self.calls.withdraw_unsent('another')
+        self.assertEqual([], self.events)
+        self.calls.withdraw_unsent('s')
+        self.assertEqual(
+            [events.AttemptBroke('r.1', 'paused', 'no', 0)], self.events
+        )
+        await asyncio.sleep(0)
+        self.assertEqual([True], closed)
+
+    async def test_attempt_that_was_sent_is_not_withdrawn(self):
+        channel = mock.Mock(failure=None, head=object())
+        channel.wait_head = asyncio.Event().wait
+        self.calls.pool.kept.return_value = channel
+        self.dispatch('r.1')
+        await asyncio.sleep(0)
+        self.calls.withdraw_unsent('s')
+        self.assertEqual([], self.events)
+        self.calls.close()
+
+    async def answer(self, **fields):
+        """Plays an attempt that is answered with this head."""
+        head = requests.AnswerHead(
+            503, (), 'r', True, False, None, None, False
+        )._replace(**fields)
+        self.protocol.read_head.return_value = head
+        self.calls.pool.kept.return_value = ScriptedChannel([])
+        self.dispatch('r.1')
+        while not isinstance(
+            self.events and self.events[-1], events.AttemptRefused
+        ):
+            await asyncio.sleep(0)
+        return self.events[0]
+
+    async def test_announcement_precedes_the_refusal(self):
+        announced = await self.answer(leaving=True, pause_ms=2_000)
+        self.assertEqual(
+            events.ServerAnnounced(
+                fleet.ServerProcess('s', 7), True, 2_000, ''
+            ),
+            announced,
+        )
+
+    async def test_another_server_announces_nothing_of_the_expected_one(self):
+        first = await self.answer(leaving=True, other_server=True)
+        self.assertIsInstance(first, events.AttemptRefused)
