Let another gateway end a roll-out in time if the store turns one away

The next gateway stood in only a second later, the one after it two; and the gateway that wrote the last step did not write the status for operators, but the one that ranked first. Change: gateways stand in for each other so soon that four of them get their turn before the end, and the one that wrote a step writes its status at once.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
@@ -45,8 +45,11 @@
 #: Time after which all gateways know of a step.
 SETTLE_MS = 1_500
 #: Each gateway takes a due step this much later than the one ranked before
-#: it, in case that one does not.
+#: it, in case that one does not; the longest such delay.
 STAND_IN_MS = 1_000
+#: Gateways that get their turn between FORCE_AT and the end of a roll-out:
+#: the store may turn some of them away.
+LAST_TURNS = 4
 CALL_TIMEOUT_MS = 1_500
 RETRY_MS = 400
 #: Phases in which a roll-out is over.
@@ -108,6 +111,7 @@
       restored_ms: When the store was last restored from an older copy.
       call_deadline_ms: No call to the store is made before this time.
       status: Status for operators, as last seen in the store or written.
+      wrote_step: Whether this gateway wrote the step.
     """
 
     def __init__(
@@ -125,6 +129,7 @@
         self.restored_ms = 0
         self.call_deadline_ms = 0
         self.status = b''
+        self.wrote_step = False
 
     @property
     def phase(self) -> Phase:
@@ -162,6 +167,12 @@
         if self.step is not None:
             self.step = self.step._replace(order=order.revision)
 
+    @property
+    def stand_in_ms(self) -> float:
+        """Time after which the next gateway takes a step that is due."""
+        reserve_ms = self.order.duration_ms * (1 - FORCE_AT)
+        return min(STAND_IN_MS, reserve_ms / LAST_TURNS)
+
     def elapsed_ms(self, now_ms: int) -> int:
         """Returns the time since the order, as far as this gateway knows."""
         elapsed_ms = now_ms - self.began_ms
@@ -302,6 +313,7 @@
             return None
         track.step = step
         track.step_seen_ms = now_ms
+        track.wrote_step = False
         return step
 
     def record_status(self, key: str, value: bytes) -> None:
@@ -420,6 +432,7 @@
             assert isinstance(call, platform.Put)
             entry = platform.Found(call.key, call.value, result.revision)
             self.apply_step(entry, stamp.now_ms)
+            track.wrote_step = True
             track.call_deadline_ms = stamp.now_ms
             fields = {'service': service, 'phase': track.phase}
             return [core_effects.Record('rollout-step-written', fields)]
@@ -464,7 +477,11 @@
         peers: PeerEvidence,
         baseline_running: int,
     ) -> list[Any]:
-        """Writes the step that is due, or else an outdated status."""
+        """Writes the step that is due, or else an outdated status.
+
+        The gateway that wrote the step writes its status, as the store may
+        turn those away that are ranked before it.
+        """
         if stamp.now_ms < track.call_deadline_ms:
             return []
         position = self._position(service, peers)
@@ -473,9 +490,11 @@
         )
         if due_phase is not None:
             return self._write_step(stamp, service, track, due_phase)
-        delay_ms = position * STAND_IN_MS
-        since_ms = max(track.step_seen_ms, track.restored_ms)
-        if stamp.now_ms < since_ms + delay_ms:
+        turn = 0 if track.wrote_step else position + 1
+        turns_begin_ms, turn_ms = track.step_seen_ms, track.stand_in_ms
+        if track.restored_ms > track.step_seen_ms:
+            turns_begin_ms, turn_ms = track.restored_ms, STAND_IN_MS
+        if stamp.now_ms < turns_begin_ms + turn * turn_ms:
             return []
         if track.step_lost:
             return self._write_step(stamp, service, track, track.phase)
@@ -526,7 +545,7 @@
             return None
         if track.candidate_rejected:
             return 'reverted'
-        now_ms = stamp.now_ms - position * STAND_IN_MS
+        now_ms = stamp.now_ms - round(position * track.stand_in_ms)
         elapsed_ms = track.elapsed_ms(now_ms)
         since_step_ms = now_ms - track.step_seen_ms
         pooled = self.pooled_evidence(service, track, peers)
--- a/packages/ragwortgw-gateway/tests/test_fleet_faults.py
+++ b/packages/ragwortgw-gateway/tests/test_fleet_faults.py
@@ -5,6 +5,8 @@
 from ragwortgw_core import events as core_events
 from ragwortgw_core import platform
 from ragwortgw_gateway import documents
+from ragwortgw_gateway import rollouts
+from ragwortgw_gateway import routes
 from tests import harness
 
 TICK_MS = 50
@@ -57,8 +59,8 @@
                     driver.receive_digest_from(other)
 
 
-class RolloutOwnerLossTest(GatewaysCase):
-    """A roll-out whose owner is lost before or after it writes a step."""
+class RolloutPlay(GatewaysCase):
+    """Plays a roll-out of four gateways with a store."""
 
     def setUp(self):
         super().setUp()
@@ -120,6 +122,10 @@
             if step is not None and step.phase not in self.phases:
                 self.phases.append(step.phase)
 
+
+class RolloutOwnerLossTest(RolloutPlay):
+    """A roll-out whose owner is lost before or after it writes a step."""
+
     def check_complete(self, lost):
         self.assertEqual(['half', 'all', 'complete'], self.phases)
         self.assertEqual(3, len(self.store.writers))
@@ -182,6 +188,59 @@
         self.assertEqual(3, len(self.store.writers))
 
 
+class RefusedGatewaysTest(RolloutPlay):
+    """A roll-out at whose end the store turns some gateways away."""
+
+    def setUp(self):
+        super().setUp()
+        # The baseline always runs something, so that the end is forced.
+        self.drivers[0].state.loads.add_attempt(
+            'long', 's1', 0.0, 0.0, 0, self.drivers[0].now_ms
+        )
+        self.refused = self.ranked_drivers()[:2]
+
+    def ranked_drivers(self):
+        """Returns the gateways in the order in which they take steps."""
+        return sorted(
+            self.drivers,
+            key=lambda driver: routes.hash_fraction(
+                f'proofs {driver.state.host_id}'
+            ),
+        )
+
+    def answer_writes(self, driver, lose):
+        elapsed_ms = driver.now_ms - self.began_ms
+        forced = elapsed_ms >= DURATION_MS * rollouts.FORCE_AT
+        if not forced or driver not in self.refused:
+            super().answer_writes(driver, lose)
+            return
+        for each in list(driver.store_calls):
+            if isinstance(each.call, platform.Put):
+                driver.store_calls.remove(each)
+                result = platform.Unavailable(False)
+                driver.reduce(core_events.PlatformAnswered(each.op_id, result))
+
+    def status(self):
+        key = self.drivers[0].state.formats.rollout_status_key('proofs')
+        found = self.store.found_by_key.get(key)
+        return b'' if found is None else found.value
+
+    def test_roll_out_completes_in_time_at_another_gateway(self):
+        self.play(lambda store, driver, write: False)
+        self.assertEqual(['half', 'all', 'complete'], self.phases)
+        self.assertIn(self.store.writers[-1], self.ranked_drivers()[2:])
+
+    def test_status_is_written_by_the_gateway_that_wrote_the_step(self):
+        self.play(lambda store, driver, write: False)
+        while b'complete' not in self.status():
+            for driver in self.drivers:
+                driver.tick(TICK_MS)
+                self.answer_writes(driver, lambda *args: False)
+            self.assertLess(
+                self.drivers[0].now_ms - self.began_ms, DURATION_MS
+            )
+
+
 class PartitionedRetryBudgetTest(GatewaysCase):
     """Retry budgets of gateways that are partitioned, new or restarted."""
 
