Repeat what a restored platform service has lost, at entries too

The product's own platform interface had no epoch. After a restore from an older copy a lost claim let a call run again that was retried with its key, counted bills were gone, an order could be given out at a revision that entries held already, and a head of the same revision with other contents counted as a confirmation of the one in force. Change: the service counts its restores in Store-Epoch; revisions contain it as they do at gateways, writes and watches name it, so that none of an earlier epoch takes effect. restores.RestoreTracker notices a later one in any answer. Group commit repeats, in order, what it committed in the last 30 s; a key is granted 2.5 s after a restore at the earliest, and a lost claim replaces a later one before that; one entry writes the lost head again, orders wait for it; the driver of roll-outs gives up its lease. Rules and their limits: docs/design/safety.md. Weighed there: holding answers back, asking peers. Answers of an earlier epoch count as lost in PlatformCalls, which the harness of the gateway's tests had given for its registration.

--- a/features/steps/check_steps.py
+++ b/features/steps/check_steps.py
@@ -1,7 +1,12 @@
 """Steps that check what the stand-ins recorded and callers received."""
 
+import base64
+
 import behave
+import msgspec
 
+from ragwortgw_core import configuration
+from ragwortgw_fakes import calls
 from ragwortgw_fakes import invariants
 from ragwortgw_fakes import system
 
@@ -154,6 +159,27 @@
     context.system.wait_in_force()
 
 
+@behave.then('the platform service holds the newest revision')
+def step_stored_revision(context):
+    revision = context.system.wait_in_force()
+    system.wait_for(
+        lambda: stored_revision(context.system) == revision,
+        'the newest revision is stored',
+    )
+
+
+def stored_revision(whole):
+    answer = calls.call(
+        whole.platform.address,
+        'GET',
+        f'/v1/values/{configuration.HEAD_KEY}',
+        {},
+        b'',
+    )
+    value = base64.b64decode(answer.json()['value'])
+    return msgspec.json.decode(value)['revision']
+
+
 @behave.then('none of them is cut')
 def step_none_cut(context):
     """A connection refused after the stop began was never taken in."""
--- a/features/steps/system_steps.py
+++ b/features/steps/system_steps.py
@@ -142,6 +142,11 @@
     context.system.platform.control(down='closed')
 
 
+@behave.when('the platform service goes back by {ms:d} ms')
+def step_platform_restored(context, ms):
+    context.system.platform.control(restore=ms)
+
+
 @behave.when('the platform service comes back')
 def step_platform_up(context):
     context.system.platform.control(down='')
--- a/packages/ragwortgw-core/ragwortgw_core/billing.py
+++ b/packages/ragwortgw-core/ragwortgw_core/billing.py
@@ -51,6 +51,7 @@
         self._waiting_by_id: dict[str, requests.Bill] = {}
         self._warned = False
         calls.register(OWNER, self)
+        calls.restores.register(self)
 
     def set_entry_count(self, entries: int) -> None:
         """Adapts the flush interval to the number of live entries."""
@@ -89,6 +90,10 @@
         items = self._pages.submit(stamp, key, bill, due_at_ms)
         return self._apply_items(items) + self._check_level()
 
+    def on_restored(self, stamp: events.Stamp) -> list[Any]:
+        """Writes bills again that the restored service may lack."""
+        return self._apply_items(self._pages.on_restored(stamp))
+
     def flush(self, stamp: events.Stamp) -> list[Any]:
         """Writes all bills now, without the delay; used on shutdown."""
         return self._apply_items(self._pages.flush(stamp))
--- a/packages/ragwortgw-core/ragwortgw_core/config_store.py
+++ b/packages/ragwortgw-core/ragwortgw_core/config_store.py
@@ -72,6 +72,8 @@
         service; 0 if unknown.
       documents_by_path: The encoded documents by 'kind/id'.
       listeners: Functions called after each change.
+      older_head_listeners: Functions called if the service holds an
+        earlier head than the one in force.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self.documents_by_path: dict[str, bytes] = {}
         self.freshness = freshness.Freshness()
         self.listeners: list[Listener] = []
+        self.older_head_listeners: list[Listener] = []
         self._calls = calls
         self._watching = False
         self._retry_at_ms = 0
@@ -94,6 +97,7 @@
         self._next_probe_at_ms = 0
         if calls is not None:
             calls.register(OWNER, self)
+            calls.restores.register(self)
 
     @property
     def revision(self) -> int:
@@ -152,6 +156,11 @@
             if objects[path] > revision
         }
 
+    def on_restored(self, stamp: events.Stamp) -> list[Any]:
+        """Reads the head anew, as the service may hold an earlier one."""
+        self.platform_revision = 0
+        return []
+
     def on_tick(self, stamp: events.Stamp) -> list[Any]:
         """Opens a watch unless one is open or a retry pause is running."""
         if self._calls is None or self._fetch is not None:
@@ -201,8 +210,14 @@
             return self._reject(stamp, 'platform', decoded_head.failure())
         head = decoded_head.unwrap()
         if head['revision'] < self.revision:
-            return self._reject_older(stamp, 'platform', head['revision'])
+            return [
+                *self._ignore(stamp, 'older', 'platform', head),
+                *self._report_older_head(stamp),
+            ]
         if head['revision'] == self.revision:
+            if found.value != self.head_value:
+                # Written after a restore that lost the one in force.
+                return self._ignore(stamp, 'diverged', 'platform', head)
             self._failures = 0
             self._confirm(found.revision, sent_at_ms)
             return self.on_tick(stamp)
@@ -344,7 +359,7 @@
     ) -> list[Any]:
         if isinstance(call, platform.Get):
             self._retry_at_ms = stamp.now_ms + MIN_RETRY_MS
-            return []
+            return self._report_older_head(stamp) if self.revision else []
         assert isinstance(call, platform.Watch)
         confirmed_at_ms = min(tag.sent_at_ms + call.wait_ms, stamp.now_ms)
         if call.revision == self.platform_revision:
@@ -473,16 +488,29 @@
             effects.LogChange('configuration rejected', fields),
         ]
 
-    def _reject_older(
-        self, stamp: events.Stamp, source: str, revision: int
+    def _ignore(
+        self,
+        stamp: events.Stamp,
+        reason: str,
+        source: str,
+        head: documents.Head,
     ) -> list[Any]:
         self._retry_at_ms = stamp.now_ms + MAX_RETRY_MS
-        fields: dict[str, Any] = {'source': source, 'revision': revision}
+        fields: dict[str, Any] = {
+            'source': source,
+            'revision': head['revision'],
+        }
         return [
-            effects.Count('configurations_older', ()),
-            effects.LogChange('older configuration ignored', fields),
+            effects.Count(f'configurations_{reason}', ()),
+            effects.LogChange(f'{reason} configuration ignored', fields),
         ]
 
+    def _report_older_head(self, stamp: events.Stamp) -> list[Any]:
+        outputs: list[Any] = []
+        for listener in self.older_head_listeners:
+            outputs += listener(stamp)
+        return outputs
+
 
 def new_store(
     calls: platform_calls.PlatformCalls | None = None,
--- a/packages/ragwortgw-core/ragwortgw_core/entry.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry.py
@@ -112,6 +112,7 @@
     return (
         state.hosts,
         state.store,
+        state.rewriter,
         state.orders,
         state.ledger,
         state.sweeper,
--- a/packages/ragwortgw-core/ragwortgw_core/entry_state.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry_state.py
@@ -10,6 +10,7 @@
 from ragwortgw_core import billing
 from ragwortgw_core import budgets
 from ragwortgw_core import cascades
+from ragwortgw_core import config_rewrite
 from ragwortgw_core import config_store
 from ragwortgw_core import documents
 from ragwortgw_core import errors
@@ -276,6 +277,9 @@
         self.orders = orders.new_order_processor(
             self.platform_calls, self.store
         )
+        self.rewriter = config_rewrite.new_rewriter(
+            self.platform_calls, self.store
+        )
         self.ledger = ledger.new_ledger(self.platform_calls)
         self.sweeper = sweeper.new_sweeper(self.platform_calls)
         self.bills = billing.new_bill_buffer(self.platform_calls)
@@ -324,6 +328,7 @@
         """
         budgets.resize_platform_budget(self.budget, self.entry_count)
         self.store.set_entry_count(self.entry_count)
+        self.rewriter.set_entry_count(self.entry_count)
         self.bills.set_entry_count(self.entry_count)
         self.sweeper.set_entry_count(self.entry_count)
         self.driver.set_entry_count(self.entry_count)
--- a/packages/ragwortgw-core/ragwortgw_core/group_commit.py
+++ b/packages/ragwortgw-core/ragwortgw_core/group_commit.py
@@ -5,6 +5,7 @@
 whose answer is lost is tried again.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import Any, NamedTuple, Protocol
 
@@ -12,6 +13,7 @@
 from ragwortgw_core import events
 from ragwortgw_core import platform
 from ragwortgw_core import platform_calls
+from ragwortgw_core import restores
 
 CALL_TIMEOUT_MS = 1_000
 MAX_CALL_TIMEOUT_MS = 4_000
@@ -20,6 +22,8 @@
 MIN_RETRY_MS = 50
 MAX_RETRY_MS = 1_000
 MAX_CACHED_PAGES = 1_024
+#: Operations that are kept to be repeated after a restore of the service.
+MAX_COMMITTED = 10_000
 #: A page that was read or written this recently is assumed unchanged.
 MAX_UNREAD_AGE_MS = 200
 #: Pages are read before they are written while more than this fraction of
@@ -54,6 +58,26 @@
     outcome: Any
 
 
+class Repeat(NamedTuple):
+    """A committed operation that the platform service may have lost."""
+
+    operation: Any
+
+
+class Committed(NamedTuple):
+    """An operation to repeat if the platform service is restored.
+
+    Args:
+      at_ms: When it was committed, Unix ms.
+      key: Key of the page.
+      operation: The operation.
+    """
+
+    at_ms: int
+    key: str
+    operation: Any
+
+
 class Codec(Protocol):
     """Encoding of an owner's pages, and the operations on them."""
 
@@ -77,6 +101,23 @@
         already contains it, it changes nothing.
         """
 
+    def repeat(
+        self, stamp: events.Stamp, content: Any, operation: Any
+    ) -> ApplyResult:
+        """Applies an operation again that was committed and then lost.
+
+        Where it excludes another operation, that one was not committed.
+        """
+
+    def repeatable(self, operation: Any, outcome: Any) -> Any:
+        """Returns what to repeat if the service loses an operation.
+
+        Args:
+          operation: The operation.
+          outcome: Its outcome.
+        Returns: The operation to repeat; None if it changed nothing.
+        """
+
 
 class Tag(NamedTuple):
     """Tag of a platform call, with the key of the page it is about."""
@@ -188,6 +229,9 @@
         self._active_keys: dict[str, None] = {}
         self._conflict_fraction = 0.0
         self._peak_latency_ms = 0
+        self._committed: collections.deque[Committed] = collections.deque(
+            maxlen=MAX_COMMITTED
+        )
 
     def submit(
         self,
@@ -237,8 +281,43 @@
             self._pages_by_key[key].due_at_ms = stamp.now_ms
         return self.on_tick(stamp)
 
+    def on_restored(self, stamp: events.Stamp) -> list[Any]:
+        """Repeats the operations that the restored service may lack.
+
+        The owner gets no Completed items for them.
+
+        Args:
+          stamp: Time and randomness.
+        Returns: Effects.
+        """
+        self._forget_committed(stamp)
+        for page in self._pages_by_key.values():
+            page.content = None
+            page.must_read = True
+        repeats_by_key: dict[str, list[Any]] = {}
+        for each in self._committed:
+            repeats = repeats_by_key.setdefault(each.key, [])
+            repeats.append(Repeat(each.operation))
+        for key, repeats in repeats_by_key.items():
+            page = self._pages_by_key.setdefault(key, Page(key))
+            page.waiting[:0] = repeats
+            page.due_at_ms = stamp.now_ms
+            page.must_read = True
+            self._active_keys[key] = None
+        out: list[Any] = [
+            effects.Count(
+                'page_operations_repeated',
+                (('owner', self._owner),),
+                len(self._committed),
+            )
+        ]
+        for key in repeats_by_key:
+            out += self._start(stamp, self._pages_by_key[key])
+        return out
+
     def on_tick(self, stamp: events.Stamp) -> list[Any]:
         """Commits pages that are due and evicts idle ones from the cache."""
+        self._forget_committed(stamp)
         out: list[Any] = []
         for key in list(self._active_keys):
             page = self._pages_by_key[key]
@@ -306,7 +385,7 @@
         if page.content is None:
             page.content = self._codec.decode(b'')
         results = [
-            self._codec.apply(stamp, page.content, operation)
+            self._apply(stamp, page.content, operation)
             for operation in page.waiting
         ]
         if (
@@ -317,7 +396,14 @@
         if not page.just_read:
             return self._read(stamp, page)
         page.in_flight, page.waiting, page.results = page.waiting, [], results
-        return self._complete(page)
+        return self._complete(stamp, page)
+
+    def _apply(
+        self, stamp: events.Stamp, content: Any, operation: Any
+    ) -> ApplyResult:
+        if isinstance(operation, Repeat):
+            return self._codec.repeat(stamp, content, operation.operation)
+        return self._codec.apply(stamp, content, operation)
 
     def _may_write_unread(self, stamp: events.Stamp, page: Page) -> bool:
         """Returns whether to write a page without reading it first."""
@@ -377,7 +463,7 @@
         page.last_seen_ms = stamp.now_ms
         page.failures = 0
         page.uncertain_base = NO_UNCERTAIN_WRITE
-        out = self._complete(page)
+        out = self._complete(stamp, page)
         return out + self._start(stamp, page)
 
     def _on_unavailable(
@@ -396,25 +482,39 @@
         page.retry_at_ms = stamp.now_ms + backoff_ms
         return [effects.Count('page_failures', (('owner', self._owner),))]
 
-    def _complete(self, page: Page) -> list[Any]:
+    def _complete(self, stamp: events.Stamp, page: Page) -> list[Any]:
         """Reports the operations in flight as completed."""
         page.possibly_written.difference_update(page.in_flight)
-        out = [
-            Completed(page.key, operation, result.outcome)
-            for operation, result in zip(
-                page.in_flight, page.results, strict=True
-            )
-            if operation not in page.cancelled
-        ]
+        out: list[Any] = []
+        for operation, result in zip(
+            page.in_flight, page.results, strict=True
+        ):
+            if isinstance(operation, Repeat) or operation in page.cancelled:
+                continue
+            out.append(Completed(page.key, operation, result.outcome))
+            repeatable = self._codec.repeatable(operation, result.outcome)
+            if repeatable is not None:
+                self._committed.append(
+                    Committed(stamp.now_ms, page.key, repeatable)
+                )
         page.in_flight, page.results = [], []
         page.cancelled.clear()
         return out
 
+    def _forget_committed(self, stamp: events.Stamp) -> None:
+        oldest_ms = stamp.now_ms - restores.MAX_COPY_AGE_MS
+        while self._committed and self._committed[0].at_ms < oldest_ms:
+            self._committed.popleft()
+
     def _requeue(self, page: Page) -> None:
-        """Puts the operations in flight back at the head of the queue."""
+        """Puts the operations in flight back at the head of the queue.
+
+        Those to be repeated stay before them, as they were committed first.
+        """
         if not page.in_flight:
             return
-        page.waiting[:0] = [
+        repeats = sum(isinstance(each, Repeat) for each in page.waiting)
+        page.waiting[repeats:repeats] = [
             operation
             for operation in page.in_flight
             if operation not in page.cancelled
--- a/packages/ragwortgw-core/ragwortgw_core/ledger.py
+++ b/packages/ragwortgw-core/ragwortgw_core/ledger.py
@@ -68,6 +68,7 @@
       expires_at_ms: When an unanswered claim fails, Unix ms.
       retry_at_ms: When to write the answer body again, Unix ms; None if
         no write has failed.
+      written: Whether the claim is on its page and waits to be granted.
     """
 
     __slots__ = (
@@ -78,6 +79,7 @@
         'page',
         'phase',
         'retry_at_ms',
+        'written',
     )
 
     def __init__(
@@ -90,6 +92,7 @@
         self.answer: requests.Answer | None = None
         self.expires_at_ms = expires_at_ms
         self.retry_at_ms: int | None = None
+        self.written = False
 
 
 class Ledger:
@@ -112,6 +115,7 @@
         self._buffered_bytes = 0
         self._failing_since_ms: int | None = None
         calls.register(OWNER, self)
+        calls.restores.register(self)
 
     def claim(
         self,
@@ -217,6 +221,10 @@
                 outputs += self._write_answer(stamp, claim)
         return outputs + self._apply_items(stamp, self._pages.on_tick(stamp))
 
+    def on_restored(self, stamp: events.Stamp) -> list[Any]:
+        """Writes claims and outcomes again that the service may have lost."""
+        return self._apply_items(stamp, self._pages.on_restored(stamp))
+
     def on_result(
         self,
         stamp: events.Stamp,
@@ -314,13 +322,27 @@
         if claim.phase != 'claiming':
             return []
         if isinstance(item.outcome, ledger_page.Granted):
-            claim.phase = 'running'
-            return [notices.ClaimGranted(claim.add.token)]
+            return self._on_granted(stamp, claim)
         self._remove(claim)
         if isinstance(item.outcome, ledger_page.Replay):
             return self._replay(stamp, claim, item.outcome.answer)
         return [notices.ClaimDenied(claim.add.token, item.outcome.failure)]
 
+    def _on_granted(self, stamp: events.Stamp, claim: KeyClaim) -> list[Any]:
+        """Grants a claim, unless an earlier one of its key may be lost.
+
+        The service may lack a claim from before its restore. The key is
+        granted only if no such claim replaces this one until all are back.
+        """
+        restores = self._calls.restores
+        if not restores.settling(stamp.now_ms):
+            claim.phase = 'running'
+            return [notices.ClaimGranted(claim.add.token)]
+        claim.written = True
+        return self._submit(
+            stamp, claim.page, claim.add, restores.settled_at_ms
+        )
+
     def _replay(
         self,
         stamp: events.Stamp,
@@ -347,7 +369,7 @@
             notices.ClaimDenied(claim.add.token, failure),
             effects.Count('claims_given_up', ()),
         ]
-        if self._pages.cancel(claim.page, claim.add):
+        if self._pages.cancel(claim.page, claim.add) and not claim.written:
             self._remove(claim)
             return outputs
         claim.phase = 'released'
--- a/packages/ragwortgw-core/ragwortgw_core/ledger_page.py
+++ b/packages/ragwortgw-core/ragwortgw_core/ledger_page.py
@@ -175,6 +175,36 @@
         claim['answer'] = _stored_answer(operation)
         return group_commit.ApplyResult(True, Recorded())
 
+    def repeat(
+        self, stamp: events.Stamp, content: Content, operation: Any
+    ) -> group_commit.ApplyResult:
+        """Applies a lost operation again.
+
+        A claim that was granted replaces one that was made since, which
+        is not granted before lost ones are back.
+        """
+        if isinstance(operation, AddClaim):
+            claim = content['claims_by_key'].get(operation.key)
+            if claim is None or claim['state'] == 'claimed':
+                repeated = _new_claim(operation)
+                content['claims_by_key'][operation.key] = repeated
+                return group_commit.ApplyResult(claim != repeated, Granted())
+        return self.apply(stamp, content, operation)
+
+    def repeatable(self, operation: Any, outcome: Any) -> Any:
+        """Returns a claim that was granted or an outcome of one, or None.
+
+        The body of a separately stored answer is left out.
+        """
+        if isinstance(operation, AddClaim):
+            return operation if isinstance(outcome, Granted) else None
+        if isinstance(outcome, TooLarge):
+            return None
+        if isinstance(operation, Finish) and operation.separate:
+            answer = operation.answer._replace(body=b'')
+            return operation._replace(answer=answer)
+        return operation
+
 
 def size_bytes(content: Content) -> int:
     """Returns an upper estimate of a page's encoded size."""
@@ -205,13 +235,17 @@
     if size_bytes(content) > MAX_CLAIMS_BYTES:
         failure = errors.LedgerFull(BUCKET_MS)
         return group_commit.ApplyResult(False, Denied(failure))
-    content['claims_by_key'][add.key] = Claim(
+    content['claims_by_key'][add.key] = _new_claim(add)
+    return group_commit.ApplyResult(True, Granted())
+
+
+def _new_claim(add: AddClaim) -> Claim:
+    return Claim(
         fingerprint=add.fingerprint,
         token=add.token,
         deadline_ms=add.deadline_ms,
         state='claimed',
     )
-    return group_commit.ApplyResult(True, Granted())
 
 
 def _refusal_or_replay(
--- a/packages/ragwortgw-core/ragwortgw_core/orders.py
+++ b/packages/ragwortgw-core/ragwortgw_core/orders.py
@@ -298,6 +298,10 @@
         assert order.base is not None
         if order.phase != 'hold':
             return []
+        if self._calls.restores.settling(stamp.now_ms):
+            # A later head may be written again.
+            order.phase = 'read'
+            return self._retry_later(stamp, order)
         if self._is_base_loaded(order):
             return self._propose(stamp, order)
         head = order_changes.decode_head(order.base)
--- a/packages/ragwortgw-core/ragwortgw_core/page_codec.py
+++ b/packages/ragwortgw-core/ragwortgw_core/page_codec.py
@@ -1,12 +1,16 @@
 """Encodes and decodes platform values that are MessagePack documents."""
 
+import abc
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
+from ragwortgw_core import events
+from ragwortgw_core import group_commit
 
-class PageCodec:
+
+class PageCodec(abc.ABC):
     """Decodes and encodes pages; subclasses add apply().
 
     Args:
@@ -37,3 +41,19 @@
     def encode(self, content: Any) -> bytes:
         """Encodes a page."""
         return msgspec.msgpack.encode(content)
+
+    @abc.abstractmethod
+    def apply(
+        self, stamp: events.Stamp, content: Any, operation: Any
+    ) -> group_commit.ApplyResult:
+        """Applies an operation; see group_commit.Codec."""
+
+    def repeat(
+        self, stamp: events.Stamp, content: Any, operation: Any
+    ) -> group_commit.ApplyResult:
+        """Applies a lost operation again; see group_commit.Codec."""
+        return self.apply(stamp, content, operation)
+
+    def repeatable(self, operation: Any, outcome: Any) -> Any:
+        """Returns what to repeat after a restore; see group_commit.Codec."""
+        return operation
--- a/packages/ragwortgw-core/ragwortgw_core/platform_calls.py
+++ b/packages/ragwortgw-core/ragwortgw_core/platform_calls.py
@@ -12,11 +12,13 @@
 from ragwortgw_core import effects
 from ragwortgw_core import events
 from ragwortgw_core import platform
+from ragwortgw_core import restores
 
 #: Owners of calls, the most urgent first.
 OWNERS_BY_URGENCY = (
     'ledger',
     'configuration',
+    'lost configuration',
     'billing',
     'orders',
     'strikes',
@@ -25,6 +27,7 @@
 #: ranks above it.
 RESERVED_FRACTION_PER_RANK = 0.05
 MAX_HELD_CALLS = 4096
+WRITES = (platform.Put, platform.Delete, platform.Grant, platform.Revoke)
 #: A sent call without an answer ends this long after its deadline.
 ANSWER_GRACE_MS = 1_000
 
@@ -57,10 +60,14 @@
     Args:
       budget: Bucket that every call takes one token from; None for no
         limit.
+
+    Attributes:
+      restores: Notices from the results that the service was restored.
     """
 
     def __init__(self, budget: budgets.TokenBucket | None = None) -> None:
         self.budget = budget
+        self.restores = restores.RestoreTracker()
         self._handlers_by_owner: dict[str, ResultHandler] = {}
         self._pending_by_id: dict[int, PendingCall] = {}
         self._held_by_owner: dict[str, collections.deque[PendingCall]] = {}
@@ -122,12 +129,17 @@
           stamp: Time and randomness.
           op_id: Number of the call.
           result: Its result.
-        Returns: Effects and notices of the owner.
+        Returns: Effects and notices of the owner, and of the components
+          that repeat writes if the service was restored.
         """
         pending = self.pop_pending(op_id)
         if pending is None:
             return []
-        return self._deliver(stamp, pending, result)
+        if self.restores.outdated(result):
+            # What it says does not hold in the restored service.
+            result = platform.Unavailable(isinstance(pending.call, WRITES))
+        outputs = self.restores.observe(stamp, result)
+        return outputs + self._deliver(stamp, pending, result)
 
     def on_tick(self, stamp: events.Stamp) -> list[Any]:
         """Fails overdue calls and sends held ones, urgent owners first."""
--- a/packages/ragwortgw-core/ragwortgw_core/rollout_driver.py
+++ b/packages/ragwortgw-core/ragwortgw_core/rollout_driver.py
@@ -90,6 +90,7 @@
         self._first_count_by_track: dict[str, RequestCount] = {}
         self._snapshot: configuration.Snapshot | None = None
         calls.register(OWNER, self)
+        calls.restores.register(self)
 
     def configure(self, snapshot: configuration.Snapshot) -> None:
         """Applies a configuration and follows its unfinished roll-outs."""
@@ -107,6 +108,14 @@
         fleet_interval_ms = entries * MS_PER_S // FLEET_POOLS_PER_S
         self._interval_ms = max(DRIVE_INTERVAL_MS, fleet_interval_ms)
 
+    def on_restored(self, stamp: events.Stamp) -> list[Any]:
+        """Gives up the lease, which the restored service may lack.
+
+        Another entry may hold it by now.
+        """
+        self._lease_until_ms = self._grant_deadline_ms = 0
+        return []
+
     def on_tick(self, stamp: events.Stamp) -> list[Any]:
         """Renews or requests the lease and reads the pools when due."""
         followed = self._followed()
--- a/packages/ragwortgw-core/ragwortgw_core/strikes.py
+++ b/packages/ragwortgw-core/ragwortgw_core/strikes.py
@@ -92,6 +92,7 @@
             codec = strikes_page.Codec()
             self._pages = group_commit.GroupCommitter(calls, OWNER, codec)
             calls.register(OWNER, self)
+            calls.restores.register(self)
 
     def attempt_started(
         self, backend: str, attempt_id: str, fingerprint: str
@@ -253,6 +254,11 @@
             stamp.now_ms + CALL_TIMEOUT_MS,
         )
 
+    def on_restored(self, stamp: events.Stamp) -> list[Any]:
+        """Stores crashes again that the restored service may lack."""
+        assert self._pages is not None
+        return _without_completed(self._pages.on_restored(stamp))
+
     def on_result(
         self,
         stamp: events.Stamp,
--- a/packages/ragwortgw-core/tests/platform_model.py
+++ b/packages/ragwortgw-core/tests/platform_model.py
@@ -40,24 +40,52 @@
 NO_FAULTS = Faults()
 
 
+class Copy(NamedTuple):
+    """State of the platform service at some time."""
+
+    values_by_key: dict[str, platform.Found]
+    revision: int
+
+
 class PlatformModel:
     """Values with revisions and one global revision counter.
 
-    While down is set, all calls fail.
+    While down is set, all calls fail. epoch is the number of restores.
     """
 
     def __init__(self) -> None:
         self.values_by_key: dict[str, platform.Found] = {}
         self.revision = 0
+        self.epoch = 0
         self.counts_by_call: dict[str, int] = {}
         self.writes: list[platform.Found] = []
         self.down = False
 
+    def copy(self) -> Copy:
+        """Copies the present state."""
+        return Copy(dict(self.values_by_key), self.revision)
+
+    def restore(self, copy: Copy) -> None:
+        """Goes back to a copy; its revisions belong to a new epoch then."""
+        self.epoch += 1
+        self.revision = copy.revision
+        self.values_by_key = {
+            key: found._replace(
+                revision=self._in_epoch(platform.number_of(found.revision))
+            )
+            for key, found in copy.values_by_key.items()
+        }
+
+    def _in_epoch(self, number: int) -> int:
+        return platform.revision_in_epoch(self.epoch, number)
+
     def apply(self, call: platform.Call) -> platform.Result:
         """Applies a call immediately."""
         held = self.values_by_key.get(getattr(call, 'key', ''))
         if isinstance(call, platform.Get):
-            return held or platform.Absent(call.key, 0)
+            return held or platform.Absent(
+                call.key, self._in_epoch(self.revision)
+            )
         if isinstance(call, platform.List):
             values = [
                 value
@@ -68,6 +96,8 @@
         if isinstance(call, platform.Watch):
             if held and held.revision > call.revision:
                 return held
+            if platform.epoch_of(call.revision) != self.epoch:
+                return platform.Absent(call.key, self._in_epoch(self.revision))
             return platform.Absent(call.key, call.revision)
         assert isinstance(call, platform.Put | platform.Delete)
         current = held.revision if held else 0
@@ -77,11 +107,12 @@
         self.revision += 1
         if isinstance(call, platform.Delete):
             self.values_by_key.pop(call.key, None)
-            return platform.Written(call.key, self.revision)
-        written = platform.Found(call.key, call.value, self.revision)
+            return platform.Written(call.key, self._in_epoch(self.revision))
+        revision = self._in_epoch(self.revision)
+        written = platform.Found(call.key, call.value, revision)
         self.values_by_key[call.key] = written
         self.writes.append(written)
-        return platform.Written(call.key, self.revision)
+        return platform.Written(call.key, revision)
 
 
 class Process:
@@ -215,7 +246,8 @@
         answer: Callable[[Any], None],
     ) -> None:
         result = self.platform.apply(call)
-        if isinstance(result, platform.Found) or self.now_ms >= until_ms:
+        unchanged = platform.Absent(call.key, call.revision)
+        if result != unchanged or self.now_ms >= until_ms:
             self.at(self.now_ms + self._delay_ms(), lambda: answer(result))
             return
         next_ms = min(self.now_ms + 10, until_ms)
--- a/packages/ragwortgw-fakes/ragwortgw_fakes/platform.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/platform.py
@@ -17,6 +17,7 @@
 VALUES_PATH = '/v1/values'
 WATCH_PATH = '/v1/watch/'
 LEASES_PATH = '/v1/leases/'
+EPOCH_HEADER = 'Store-Epoch'
 
 
 def value_document(item: store.Item) -> dict[str, Any]:
@@ -36,6 +37,7 @@
     lose_mode: What comes instead: 'drop' (the connection is reset), '500'
       or 'garbage' (a 200 that holds no JSON).
     lapse: Name of a lease that lapses now.
+    restore: Goes back to the state of so many ms ago.
     writes_per_s, reads_per_s: Rates above which 429 comes; 0 is no limit.
     slow_answer_ms: Time between a write's effect and its answer.
     hosts: The host list, or {'hosts': [...], 'lag_ms': n}.
@@ -84,6 +86,8 @@
             self.reads = rates.TokenBucket(fields['reads_per_s'])
         if 'lapse' in fields:
             self.store.revoke(fields['lapse'])
+        if 'restore' in fields:
+            self.store.restore(fields['restore'])
         if 'hosts' in fields:
             self._set_hosts(fields['hosts'])
         return {'revision': self.store.revision}
@@ -93,6 +97,7 @@
             'calls': dict(self.calls_by_kind),
             'writes': self.writes_log,
             'revision': self.store.revision,
+            'epoch': self.store.epoch,
             'waiting_watches': self.store.waiting(),
             'leases': self.store.lease_deadlines(),
         }
@@ -108,6 +113,8 @@
             self.calls_by_kind['limited'] += 1
             return http.error_response(429, 'rate-limited')
         answer = await handler(request)
+        epoch = (EPOCH_HEADER, str(self.store.epoch))
+        answer = answer._replace(headers=(*answer.headers, epoch))
         if is_write and answer.status == 200:
             return await self._after_write(request, answer)
         return answer
@@ -191,6 +198,10 @@
         value = base64.b64decode(document['value'])
         if len(value) > MAX_VALUE_BYTES:
             return http.error_response(413, 'value-too-large')
+        if not self._is_present(
+            document['revision'], document.get('epoch', 0)
+        ):
+            return self._conflict(key)
         lease = document.get('lease', '')
         if lease and not self.store.has_lease(lease):
             return self._conflict(key, lease_lapsed=True)
@@ -203,12 +214,20 @@
     async def _delete(self, request: http.Request) -> http.Response:
         key = request.path.removeprefix(VALUES_PATH + '/')
         expected = int(request.query.get('revision', '0'))
+        if not self._is_present(
+            expected, int(request.query.get('epoch', '0'))
+        ):
+            return self._conflict(key)
         revision = self.store.delete(key, expected)
         if revision is None:
             return self._conflict(key)
         self._log_write('delete', key, revision)
         return http.json_response(200, {'key': key, 'revision': revision})
 
+    def _is_present(self, revision: int, epoch: int) -> bool:
+        """Returns whether a revision is one of the present epoch."""
+        return not revision or epoch == self.store.epoch
+
     def _conflict(self, key: str, lease_lapsed: bool = False) -> http.Response:
         self.calls_by_kind['conflict'] += 1
         item = self.store.get(key) or store.Item(key, b'', 0, '')
@@ -221,6 +240,9 @@
         key = request.path.removeprefix(WATCH_PATH)
         revision = int(request.query.get('revision', '0'))
         wait_ms = min(int(request.query.get('wait_ms', '0')), MAX_WATCH_MS)
+        epoch = int(request.query.get('epoch', '0'))
+        if not self._is_present(revision, epoch):
+            return self._read(key)
         changed = await self.store.wait(key, revision, wait_ms / 1000)
         if not changed:
             return http.json_response(
--- a/packages/ragwortgw-fakes/ragwortgw_fakes/store.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/store.py
@@ -1,9 +1,14 @@
 """Values, revisions, leases and waiting watches of the platform fake."""
 
 import asyncio
+import collections
+import time
 from typing import NamedTuple
 
 LAPSE_INTERVAL_S = 0.02
+#: Changes that can be undone.
+MAX_CHANGES = 100_000
+NS_PER_MS = 1_000_000
 
 
 class Item(NamedTuple):
@@ -15,11 +20,32 @@
     lease: str
 
 
+class Change(NamedTuple):
+    """A change of a key: when, by the monotonic clock, and what was before.
+
+    changed is the revision of the change before; revision that of the store.
+    """
+
+    at_ms: int
+    key: str
+    item: Item | None
+    changed: int
+    revision: int
+
+
 class Store:
-    """Values with compare-and-swap; one revision counts all changes."""
+    """Values with compare-and-swap; one revision counts all changes.
+
+    epoch is the number of times that it was restored from an older copy.
+    """
 
     def __init__(self) -> None:
         self.revision = 0
+        self.epoch = 0
+        self._changes: collections.deque[Change] = collections.deque(
+            maxlen=MAX_CHANGES
+        )
+        self._granted_ms_by_lease: dict[str, int] = {}
         self._items_by_key: dict[str, Item] = {}
         self._changed_by_key: dict[str, int] = {}
         self._lease_deadlines_ms: dict[str, int] = {}
@@ -48,6 +74,7 @@
         """
         if self._revision_of(key) != expected:
             return None
+        self._remember(key)
         self.revision += 1
         self._items_by_key[key] = Item(key, value, self.revision, lease)
         self._changed(key)
@@ -63,6 +90,7 @@
         """
         if expected == 0 or self._revision_of(key) != expected:
             return None
+        self._remember(key)
         del self._items_by_key[key]
         self.revision += 1
         self._changed(key)
@@ -97,6 +125,7 @@
     def grant(self, lease: str, deadline_ms: int) -> None:
         """Takes or renews a lease until a Unix time in ms."""
         self._lease_deadlines_ms[lease] = deadline_ms
+        self._granted_ms_by_lease.setdefault(lease, _monotonic_ms())
 
     def has_lease(self, lease: str) -> bool:
         """Returns whether the lease lives."""
@@ -110,6 +139,7 @@
         """Ends a lease and deletes the values that hang on it."""
         if self._lease_deadlines_ms.pop(lease, None) is None:
             return
+        del self._granted_ms_by_lease[lease]
         held = [i for i in self._items_by_key.values() if i.lease == lease]
         for item in held:
             self.delete(item.key, item.revision)
@@ -124,12 +154,59 @@
         for lease in lapsed:
             self.revoke(lease)
 
+    def restore(self, age_ms: int) -> None:
+        """Goes back to the state of some time ago; ends all watches.
+
+        Revisions and leases of that time are gone, and revisions are given
+        out again.
+
+        Args:
+          age_ms: How long ago.
+        """
+        copied_ms = _monotonic_ms() - age_ms
+        while self._changes and self._changes[-1].at_ms > copied_ms:
+            change = self._changes.pop()
+            self.revision = change.revision
+            self._changed_by_key[change.key] = change.changed
+            self._items_by_key.pop(change.key, None)
+            if change.item is not None:
+                self._items_by_key[change.key] = change.item
+        for lease, granted_ms in list(self._granted_ms_by_lease.items()):
+            if granted_ms > copied_ms:
+                del self._granted_ms_by_lease[lease]
+                del self._lease_deadlines_ms[lease]
+        for key, item in list(self._items_by_key.items()):
+            if item.lease and item.lease not in self._lease_deadlines_ms:
+                del self._items_by_key[key]
+        self.epoch += 1
+        for key in list(self._waiters_by_key):
+            self._wake(key)
+
+    def _remember(self, key: str) -> None:
+        """Keeps what a change of a key replaces."""
+        self._changes.append(
+            Change(
+                _monotonic_ms(),
+                key,
+                self._items_by_key.get(key),
+                self._changed_by_key.get(key, 0),
+                self.revision,
+            )
+        )
+
     def _revision_of(self, key: str) -> int:
         item = self._items_by_key.get(key)
         return item.revision if item is not None else 0
 
     def _changed(self, key: str) -> None:
         self._changed_by_key[key] = self.revision
+        self._wake(key)
+
+    def _wake(self, key: str) -> None:
         for waiter in self._waiters_by_key.pop(key, set()):
             if not waiter.done():
                 waiter.set_result(True)
+
+
+def _monotonic_ms() -> int:
+    return time.monotonic_ns() // NS_PER_MS
--- a/packages/ragwortgw-gateway/tests/harness.py
+++ b/packages/ragwortgw-gateway/tests/harness.py
@@ -183,7 +183,9 @@
             elif getattr(each.call, 'lease', '') and isinstance(
                 each.call, platform.Put
             ):
-                result = platform.Written(each.call.key, 1)
+                epoch = self.state.platform_calls.restores.epoch
+                revision = platform.revision_in_epoch(epoch, 1)
+                result = platform.Written(each.call.key, revision)
             else:
                 continue
             self.store_calls.remove(each)
--- a/packages/ragwortgw-gateway/tests/test_store_restore.py
+++ b/packages/ragwortgw-gateway/tests/test_store_restore.py
@@ -89,7 +89,9 @@
             for key, value in self.values.items()
             if value is not None
         }
-        while self.gateway.state.values.epoch < self.epoch:
+        for _ in range(1_000):
+            if self.gateway.state.values.epoch == self.epoch:
+                return self.gateway.effects
             if self.gateway.has_pending_call(platform.WatchPrefix):
                 self.gateway.answer(
                     platform.WatchPrefix, platform.Compacted('')
@@ -98,7 +100,7 @@
                 self.list_values()
             else:
                 self.gateway.tick(50)
-        return self.gateway.effects
+        raise AssertionError('the gateway does not list the restored store')
 
     def write_again(self, key, value):
         """Writes a value to the restored store."""
--- a/packages/ragwortgw-server/ragwortgw_server/platform_client.py
+++ b/packages/ragwortgw-server/ragwortgw_server/platform_client.py
@@ -1,4 +1,8 @@
-"""Client of the platform's key-value service."""
+"""Client of the platform's key-value service.
+
+The service names its epoch in each answer. Revisions contain it here, and
+without it on the wire (`core.platform`).
+"""
 
 import base64
 from collections.abc import Callable
@@ -22,6 +26,9 @@
 ELSEWHERE_STATUSES = frozenset({503})
 
 WRITES = (platform.Put, platform.Delete, platform.Grant, platform.Revoke)
+#: Header of an answer with the number of times that the service was restored
+#: from an older copy; 0 if it is missing.
+EPOCH_HEADER = 'store-epoch'
 
 
 class _Encoded(NamedTuple):
@@ -34,6 +41,13 @@
     status: int
     document: dict[str, Any]
     sent_ms: int
+    epoch: int
+
+    def revision(self) -> int:
+        """Returns the revision of the answer, with the epoch."""
+        return platform.revision_in_epoch(
+            self.epoch, int(self.document['revision'])
+        )
 
 
 class _Kind(NamedTuple):
@@ -80,7 +94,8 @@
 def _encode_put(call: platform.Put) -> _Encoded:
     document = {
         'value': base64.b64encode(call.value).decode(),
-        'revision': call.revision,
+        'revision': platform.number_of(call.revision),
+        'epoch': platform.epoch_of(call.revision),
         'lease': call.lease,
     }
     return _Encoded(
@@ -89,26 +104,32 @@
 
 
 def _encode_delete(call: platform.Delete) -> _Encoded:
-    path = f'{_value_path(call.key)}?revision={call.revision}'
+    path = f'{_value_path(call.key)}?{_base_query(call.revision)}'
     return _Encoded('DELETE', path, b'')
 
 
 def _encode_watch(call: platform.Watch) -> _Encoded:
     key = urllib.parse.quote(call.key, safe='/_.@-')
-    query = f'revision={call.revision}&wait_ms={call.wait_ms}'
+    query = f'{_base_query(call.revision)}&wait_ms={call.wait_ms}'
     return _Encoded('GET', f'/v1/watch/{key}?{query}', b'')
 
 
+def _base_query(revision: int) -> str:
+    """Returns the query that names a revision and its epoch."""
+    number = platform.number_of(revision)
+    return f'revision={number}&epoch={platform.epoch_of(revision)}'
+
+
 def _encode_grant(call: platform.Grant) -> _Encoded:
     body = msgspec.json.encode({'ttl_ms': call.ttl_ms})
     return _Encoded('PUT', _lease_path(call.lease), body)
 
 
-def _found(document: dict[str, Any]) -> platform.Found:
+def _found(document: dict[str, Any], epoch: int) -> platform.Found:
     return platform.Found(
         document['key'],
         base64.b64decode(document['value'], validate=True),
-        int(document['revision']),
+        platform.revision_in_epoch(epoch, int(document['revision'])),
     )
 
 
@@ -117,14 +138,15 @@
 )
 def _decode_get(call: platform.Get, answer: _Answer) -> platform.Result:
     if answer.status == 404:
-        return platform.Absent(call.key, int(answer.document['revision']))
-    return _found(answer.document)
+        return platform.Absent(call.key, answer.revision())
+    return _found(answer.document, answer.epoch)
 
 
 @_encodes(platform.List, _encode_list, 200)
 def _decode_list(call: platform.List, answer: _Answer) -> platform.Result:
     values = answer.document['values']
-    return platform.Listed(call.prefix, tuple(_found(v) for v in values))
+    found = tuple(_found(value, answer.epoch) for value in values)
+    return platform.Listed(call.prefix, found)
 
 
 @_encodes(platform.Put, _encode_put, 200, 409)
@@ -133,8 +155,8 @@
     call: platform.Put | platform.Delete, answer: _Answer
 ) -> platform.Result:
     if answer.status == 409:
-        return platform.Conflict(*_found(answer.document))
-    return platform.Written(call.key, int(answer.document['revision']))
+        return platform.Conflict(*_found(answer.document, answer.epoch))
+    return platform.Written(call.key, answer.revision())
 
 
 @_encodes(platform.Watch, _encode_watch, 200, 404)
@@ -142,8 +164,8 @@
     if answer.document.get('unchanged'):
         return platform.Absent(call.key, call.revision)
     if answer.status == 404:
-        return platform.Absent(call.key, int(answer.document['revision']))
-    return _found(answer.document)
+        return platform.Absent(call.key, answer.revision())
+    return _found(answer.document, answer.epoch)
 
 
 @_encodes(platform.Grant, _encode_grant, 200)
@@ -283,8 +305,11 @@
         refused = response.status in REFUSED_STATUSES
         return platform.Unavailable(is_write and not refused)
     try:
+        epoch = int(response.headers.get(EPOCH_HEADER, '0'))
         document = msgspec.json.decode(response.body, type=dict)
-        return kind.decode(call, _Answer(response.status, document, sent_ms))
+        return kind.decode(
+            call, _Answer(response.status, document, sent_ms, epoch)
+        )
     except (LookupError, TypeError, ValueError):
         return platform.Unavailable(is_write)
 
