Take a server for silent only if it sends nothing to any gateway

Change: digests tell when data last came from each server where a gateway has requests, and silence is counted from the latest of all. An answer that is overdue at a server that answers others is given up as before, but counts as one failure of that server, with the reason 'overdue', and does not suspend it at once.

--- a/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_simulation.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_simulation.py
@@ -345,7 +345,9 @@
             self._cancel(effect.attempt_id)
         elif isinstance(effect, effects.Abandon):
             self._cancel(effect.attempt_id)
-            broke = events.AttemptBroke(effect.attempt_id, 'silent', 'yes', 0)
+            broke = events.AttemptBroke(
+                effect.attempt_id, effect.reason, 'yes', 0
+            )
             self._at(0, lambda: self._reduce(number, broke))
         elif isinstance(effect, effects.Deliver):
             self._deliver(effect.attempt_id)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -161,6 +161,8 @@
       configuration: Version of its configuration, 0 if it has none.
       settling_ms: Time for which the store, which was restored from an
         older copy, may still hold what is out of date; 0 if it does not.
+      silence_ms_by_server: Time since data came from a backend server, for
+        those in loads_by_server that sent some lately.
     """
 
     sender: str
@@ -176,6 +178,7 @@
     leaving: tuple[Leaving, ...] = ()
     configuration: int = 0
     settling_ms: int = 0
+    silence_ms_by_server: dict[str, int] = {}
 
 
 #: First byte of a datagram, by the type of the message.
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
@@ -3,7 +3,7 @@
 Those of all roles are in ragwortgw_core.effects.
 """
 
-from typing import Any, NamedTuple
+from typing import Any, Literal, NamedTuple
 
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import documents
@@ -101,6 +101,12 @@
 
 
 class Abandon(NamedTuple):
-    """Aborts an attempt that timed out; AttemptBroke follows."""
+    """Aborts an attempt that timed out; AttemptBroke follows.
+
+    Args:
+      attempt_id: The attempt.
+      reason: Why: its server is silent, or the answer is overdue.
+    """
 
     attempt_id: str
+    reason: Literal['silent', 'overdue']
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -14,7 +14,7 @@
 #: Why an attempt broke: connection refused, connection closed by the server,
 #: no answer in time, bytes that are no answer to the request, not sent since
 #: the server asked for a pause.
-Reason = Literal['refused', 'reset', 'silent', 'garbled', 'paused']
+Reason = Literal['refused', 'reset', 'silent', 'overdue', 'garbled', 'paused']
 
 
 class RequestArrived(NamedTuple):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/fleet_changes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/fleet_changes.py
@@ -26,6 +26,7 @@
         state.outliers.forget(server_id)
         state.backoff.forget(server_id)
         state.last_seen_ms_by_server.pop(server_id, None)
+        state.peers_seen_ms_by_server.pop(server_id, None)
         outputs.append(effects.DropServer(server_id))
     for change_name, server_ids in change._asdict().items():
         for server_id in server_ids:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -315,7 +315,10 @@
         self.requests_by_attempt: dict[str, ActiveRequest] = {}
         self.peers_by_id: dict[str, Peer] = {}
         self.peer_addresses_by_id: dict[str, str] = {}
+        #: When data last came from each backend server: to this gateway, and
+        #: to any of its peers.
         self.last_seen_ms_by_server: dict[str, int] = {}
+        self.peers_seen_ms_by_server: dict[str, int] = {}
         #: Since when a peer has known a newer store revision, 0 if none does.
         self.behind_since_ms = 0
         #: Until when registrations that lapsed in an outage of the store
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
@@ -5,6 +5,7 @@
 peer whose digest names a newer revision.
 """
 
+from collections.abc import Iterable
 from typing import Any
 
 from ragwortgw_core import events as core_events
@@ -44,6 +45,8 @@
 FETCH_TIMEOUT_MS = 2_000
 #: A fetch whose end was not reported this long after its timeout is dropped.
 FETCH_GRACE_MS = 500
+#: A server that was silent for longer is left out of digests.
+MAX_SILENCE_MS = 2_000
 #: Gateways that watch the store themselves; if two of them fail at once, one
 #: is left to pass changes on.
 MAX_WATCHERS = 3
@@ -90,6 +93,10 @@
     state.loads.merge_remote(
         digest.sender, digest.loads_by_server, stamp.now_ms
     )
+    for server_id, silence_ms in digest.silence_ms_by_server.items():
+        seen_ms = stamp.now_ms - max(0, silence_ms)
+        known_ms = state.peers_seen_ms_by_server.get(server_id, 0)
+        state.peers_seen_ms_by_server[server_id] = max(known_ms, seen_ms)
     state.crashes.merge_remote(digest.crashes, stamp.now_ms)
     if digest.revision <= state.values.revision:
         state.values.confirm(stamp.now_ms - digest.store_age_ms)
@@ -192,6 +199,7 @@
 
 def build_digest(state: State, now_ms: int) -> digests.Digest:
     """Builds the digest of this gateway."""
+    loads_by_server = state.loads.local()
     return digests.Digest(
         state.host_id,
         state.incarnation,
@@ -200,15 +208,31 @@
         state.stopping,
         state.values.changed_revision,
         now_ms - state.values.store_confirmed_ms,
-        state.loads.local(),
+        loads_by_server,
         state.crashes.local(now_ms),
         state.rollouts.local_evidence(now_ms),
         announcements.describe_leaving(state, now_ms),
         state.version,
         max(0, state.settle_deadline_ms - now_ms),
+        _recent_silences(state, loads_by_server, now_ms),
     )
 
 
+def _recent_silences(
+    state: State, server_ids: Iterable[str], now_ms: int
+) -> dict[str, int]:
+    """Returns the time since some servers sent data, if that was lately."""
+    silences_ms = {
+        server_id: now_ms - state.last_seen_ms_by_server.get(server_id, 0)
+        for server_id in server_ids
+    }
+    return {
+        server_id: silence_ms
+        for server_id, silence_ms in silences_ms.items()
+        if silence_ms < MAX_SILENCE_MS
+    }
+
+
 def store_view_since(
     state: State, revision: int, now_ms: int
 ) -> digests.StoreView:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/outlier_ejection.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/outlier_ejection.py
@@ -6,10 +6,11 @@
 
 from typing import Literal, NamedTuple
 
-#: How an attempt failed: connection refused, connection reset, no answer in
-#: time, malformed answer, HTTP error status, no capacity.
+#: How an attempt failed: connection refused, connection reset, nothing sent
+#: to anybody, no answer in time, malformed answer, HTTP error status, no
+#: capacity.
 FailureKind = Literal[
-    'refused', 'reset', 'silent', 'garbled', 'failed', 'full'
+    'refused', 'reset', 'silent', 'overdue', 'garbled', 'failed', 'full'
 ]
 
 #: First and longest suspension; it doubles with each one that follows
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/timeouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/timeouts.py
@@ -15,17 +15,18 @@
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import gateway_state
 
-#: A server with requests in progress is silent if it sent nothing at all for
-#: this long. While it prefills a long prompt, each token of other requests
-#: waits for one chunk of the prefill, a quarter of a second on a large
-#: model, and an event has several tokens. PENDING_FACTOR times the estimated
-#: prefill of the prompts that are queued there is added.
+#: A server with requests in progress is silent if it sent nothing at all, to
+#: any gateway, for this long. While it prefills a long prompt, each token of
+#: other requests waits for one chunk of the prefill, a quarter of a second on
+#: a large model, and an event has several tokens. PENDING_FACTOR times the
+#: estimated prefill of the prompts that are queued there is added.
 SERVER_SILENCE_MS = 1_800
 PENDING_FACTOR = 2.0
 #: An answer that has not begun after this many times the estimated time,
-#: plus a margin, is lost.
-LOST_FACTOR = 4.0
-LOST_MARGIN_MS = 1_800
+#: plus a margin, is overdue: it was lost, or its server has more work than
+#: is known here.
+OVERDUE_FACTOR = 4.0
+OVERDUE_MARGIN_MS = 1_800
 #: A plain request is hedged, sent to a second server, after this many times
 #: the estimated time, plus a margin.
 HEDGE_FACTOR = 3.0
@@ -73,10 +74,10 @@
     for attempt in list(active.attempts_by_id.values()):
         if not may_retry:
             continue
-        if _server_silent(state, stamp, attempt) or _answer_lost(
-            stamp, active, attempt
-        ):
-            outputs.append(effects.Abandon(attempt.id))
+        if _server_silent(state, stamp, attempt):
+            outputs.append(effects.Abandon(attempt.id, 'silent'))
+        elif _answer_overdue(stamp, active, attempt):
+            outputs.append(effects.Abandon(attempt.id, 'overdue'))
         elif _wants_hedge(stamp, active, attempt):
             outputs += _hedge(state, stamp, active, attempt)
     return outputs
@@ -107,25 +108,28 @@
     stamp: events.Stamp,
     attempt: gateway_state.Attempt,
 ) -> bool:
-    last_seen_ms = state.last_seen_ms_by_server.get(attempt.server.id, 0)
-    since_ms = max(last_seen_ms, attempt.sent_ms, attempt.answered_ms)
-    pending_ms = state.loads.remaining(
-        attempt.server.id, stamp.now_ms
-    ).pending_ms
+    server_id = attempt.server.id
+    since_ms = max(
+        state.last_seen_ms_by_server.get(server_id, 0),
+        state.peers_seen_ms_by_server.get(server_id, 0),
+        attempt.sent_ms,
+        attempt.answered_ms,
+    )
+    pending_ms = state.loads.remaining(server_id, stamp.now_ms).pending_ms
     if not attempt.answered_ms:
         pending_ms = max(pending_ms, attempt.expected_ms)
     limit_ms = SERVER_SILENCE_MS + PENDING_FACTOR * pending_ms
     return stamp.now_ms - since_ms > limit_ms
 
 
-def _answer_lost(
+def _answer_overdue(
     stamp: events.Stamp,
     active: gateway_state.ActiveRequest,
     attempt: gateway_state.Attempt,
 ) -> bool:
     if attempt.answered_ms or active.route.kind != 'streaming':
         return False
-    limit_ms = attempt.expected_ms * LOST_FACTOR + LOST_MARGIN_MS
+    limit_ms = attempt.expected_ms * OVERDUE_FACTOR + OVERDUE_MARGIN_MS
     return stamp.now_ms - attempt.sent_ms > limit_ms
 
 
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -572,6 +572,57 @@
             self.driver.tick(50)
             self.assertEqual([], self.driver.effects_of(effects.Abandon))
 
+    def test_attempt_is_not_abandoned_while_its_server_sends_data_to_a_peer(
+        self,
+    ):
+        """A gateway has few requests at each server of a large fleet."""
+        self.driver.receive_answer_head(self.first, confidence=90)
+        peer = harness.GatewayDriver('edge-2').start(
+            servers=(self.first.server_id,)
+        )
+        peer.arrive('p1', 'draft')
+        for _ in range(80):
+            peer.now_ms = self.driver.now_ms
+            peer.reduce(events.ServersHeard((self.first.server_id,)))
+            self.driver.receive_digest_from(peer)
+            self.driver.tick(50)
+            self.assertEqual([], self.driver.effects_of(effects.Abandon))
+
+    def abandon_overdue(self):
+        """Waits for the answer at a server that answers others.
+
+        Returns: Effects once the attempt is abandoned and has ended.
+        """
+        while not self.driver.effects_of(effects.Abandon):
+            self.driver.reduce(events.ServersHeard((self.first.server_id,)))
+            self.driver.tick(50)
+            self.assertLess(self.driver.now_ms, harness.START_MS + 9_000)
+        (abandoned,) = self.driver.effects_of(effects.Abandon)
+        self.assertEqual('overdue', abandoned.reason)
+        return self.driver.break_attempt(self.first, abandoned.reason)
+
+    def test_overdue_answer_does_not_suspend_a_server_that_answers_others(
+        self,
+    ):
+        self.abandon_overdue()
+        self.assertIsNotNone(self.driver.dispatched())
+        self.assertEqual([], self.driver.effects_of(effects.DropServer))
+        self.assertFalse(
+            self.driver.state.outliers.suspended(
+                self.first.server_id, self.driver.now_ms
+            )
+        )
+
+    def test_server_with_many_overdue_answers_is_suspended(self):
+        outliers = self.driver.state.outliers
+        suspensions = [
+            outliers.record_failure(
+                self.first.server_id, 'proofs', 'overdue', self.driver.now_ms
+            )
+            for _ in range(6)
+        ]
+        self.assertTrue(any(each.until_ms for each in suspensions))
+
     def test_attempt_is_not_abandoned_while_its_server_sends_data(self):
         self.driver.receive_answer_head(self.first, confidence=90)
         for _ in range(40):
--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -123,15 +123,15 @@
         if call.task is not None and call.task is not asyncio.current_task():
             call.task.cancel()
 
-    def abandon(self, attempt_id: str) -> None:
-        """Gives a silent attempt up; AttemptBroke follows."""
+    def abandon(self, attempt_id: str, reason: events.Reason) -> None:
+        """Gives an attempt up that timed out; AttemptBroke follows."""
         call = self._calls_by_id.get(attempt_id)
         if call is None:
             return
         last_event = self._callers.last_event(call.request.id)
         self.cancel(attempt_id)
         self._on_event(
-            events.AttemptBroke(attempt_id, 'silent', 'unknown', last_event)
+            events.AttemptBroke(attempt_id, reason, 'unknown', last_event)
         )
 
     def withdraw_unsent(self, server_id: str) -> None:
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
@@ -30,8 +30,8 @@
 
 @applies(effects.Abandon)
 def apply_abandon(process: Any, effect: effects.Abandon) -> None:
-    """Gives a silent attempt up."""
-    process.calls.abandon(effect.attempt_id)
+    """Gives an attempt up that timed out."""
+    process.calls.abandon(effect.attempt_id, effect.reason)
 
 
 @applies(effects.Respond)
