--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
@@ -71,6 +71,7 @@
             preceding_watchers += 1
     if preceding_watchers >= MAX_WATCHERS:
         return []
+    state.values.preceding_watchers = preceding_watchers
     return state.values.on_tick(stamp)
 
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/store_watch.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_watch.py
@@ -25,6 +25,9 @@
 #: Changes often come in groups; after one, the next watch starts this much
 #: later, so that it returns the rest of the group together.
 WATCH_DELAY_MS = 150
+#: Added for each other gateway that watches and tells what it sees: a watch
+#: that only replaces theirs if they fail may be late, and each one is a call.
+STANDBY_DELAY_MS = 225
 #: Interval at which the part of the prefix given as relist_prefix is listed
 #: again; a list costs as much as a watch.
 RELIST_INTERVAL_MS = 8_000
@@ -52,6 +55,7 @@
       changed_revision: Revision of the last change that was seen.
       confirmed_ms: When the store or a peer last confirmed that the values
         are current.
+      preceding_watchers: Other gateways that watch for this one.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         self.revision = 0
         self.changed_revision = 0
         self.confirmed_ms = 0
+        self.preceding_watchers = 0
         self._entries_by_key: dict[str, platform.Found] = {}
         self._calls = calls
         self._owner = f'following {prefix}'
@@ -207,7 +212,8 @@
             return self._replace_all(stamp, result, False)
         if isinstance(result, platform.Changes):
             if result.changes:
-                self._call_deadline_ms = stamp.now_ms + WATCH_DELAY_MS
+                delay_ms = self.preceding_watchers * STANDBY_DELAY_MS
+                self._call_deadline_ms += WATCH_DELAY_MS + delay_ms
             return self._apply_changes(stamp, result)
         return []
 
--- a/packages/ragwortgw-gateway/tests/test_store_watch.py
+++ b/packages/ragwortgw-gateway/tests/test_store_watch.py
@@ -44,6 +44,22 @@
         self.assertEqual(('a',), notice.deleted)
         self.assertEqual(8, self.watch.revision)
 
+    def time_to_next_watch(self, preceding_watchers):
+        """Returns the time from a change to the next watch, in ms."""
+        self.watch.preceding_watchers = preceding_watchers
+        self.tick()
+        changes = (platform.Found('b', b'2', self.watch.revision + 1),)
+        self.answer_oldest(platform.Changes('', changes, changes[0].revision))
+        for elapsed_ms in range(0, 2_000, 25):
+            if self.tick(25):
+                return elapsed_ms + 25
+        raise AssertionError('no watch')
+
+    def test_gateway_that_stands_by_watches_less_often(self):
+        self.start()
+        delays_ms = [self.time_to_next_watch(n) for n in range(3)]
+        self.assertEqual([150, 375, 600], delays_ms)
+
     def test_value_written_and_deleted_in_one_answer_is_absent(self):
         self.start()
         self.tick()
