Give stalled streams up, and trust no answer without an id on a used channel

A stream that had begun was given up only if its server sent nothing at all, so that one whose server sends bytes without an event, or other data, lasted to its deadline; since silence is counted over all gateways, a connection that went dead in mid-stream was no longer noticed either. And an answer that does not name its request was taken for the present one's, also on a connection that had carried another: a late copy of a refusal would then say 'not run' of a request that runs. On a connection that carried a request before, an answer without an id ends the attempt as garbled, and as possibly run.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/timeouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/timeouts.py
@@ -27,6 +27,10 @@
 #: is known here.
 OVERDUE_FACTOR = 4.0
 OVERDUE_MARGIN_MS = 1_800
+#: A stream that has begun is overdue, though its server sends other data,
+#: after this many times the longest pause that is on time, and at least as
+#: long as a server may be silent. Bytes that complete no event don't count.
+STALL_FACTOR = 2.0
 #: A plain request is hedged, sent to a second server, after this many times
 #: the estimated time, plus a margin.
 HEDGE_FACTOR = 3.0
@@ -76,7 +80,7 @@
             continue
         if _server_silent(state, stamp, attempt):
             outputs.append(effects.Abandon(attempt.id, 'silent'))
-        elif _answer_overdue(stamp, active, attempt):
+        elif _answer_overdue(state, stamp, active, attempt):
             outputs.append(effects.Abandon(attempt.id, 'overdue'))
         elif _wants_hedge(stamp, active, attempt):
             outputs += _hedge(state, stamp, active, attempt)
@@ -123,14 +127,22 @@
 
 
 def _answer_overdue(
+    state: gateway_state.State,
     stamp: events.Stamp,
     active: gateway_state.ActiveRequest,
     attempt: gateway_state.Attempt,
 ) -> bool:
-    if attempt.answered_ms or active.route.kind != 'streaming':
+    if active.route.kind != 'streaming':
         return False
-    limit_ms = attempt.expected_ms * OVERDUE_FACTOR + OVERDUE_MARGIN_MS
-    return stamp.now_ms - attempt.sent_ms > limit_ms
+    if not attempt.answered_ms:
+        limit_ms = attempt.expected_ms * OVERDUE_FACTOR + OVERDUE_MARGIN_MS
+        return stamp.now_ms - attempt.sent_ms > limit_ms
+    load = state.loads.remaining(attempt.server.id, stamp.now_ms)
+    limit_ms = max(
+        SERVER_SILENCE_MS, STALL_FACTOR * active.route.event_interval_ms
+    )
+    limit_ms += PENDING_FACTOR * load.pending_ms
+    return stamp.now_ms - attempt.advanced_ms > limit_ms
 
 
 def _wants_hedge(
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -588,6 +588,36 @@
             self.driver.tick(50)
             self.assertEqual([], self.driver.effects_of(effects.Abandon))
 
+    def stall(self):
+        """Waits while the server sends data, but no event of the stream.
+
+        Returns: The time from the last event until it is given up, in ms.
+        """
+        stalled_ms = self.driver.now_ms
+        while not self.driver.effects_of(effects.Abandon):
+            self.driver.reduce(events.ServersHeard((self.first.server_id,)))
+            self.driver.tick(50)
+            self.assertLess(self.driver.now_ms, harness.START_MS + 9_900)
+        return self.driver.now_ms - stalled_ms
+
+    def test_stream_that_sends_bytes_but_no_events_is_given_up(self):
+        self.driver.receive_answer_head(self.first, confidence=90)
+        self.assertLess(self.stall(), 6_000)
+        (abandoned,) = self.driver.effects_of(effects.Abandon)
+        self.assertEqual('overdue', abandoned.reason)
+
+    def test_slow_stream_whose_events_are_late_goes_on(self):
+        self.driver.receive_answer_head(self.first, confidence=90)
+        advance = events.Advance(self.first.attempt_id, 1)
+        for _ in range(3):
+            for _ in range(60):
+                self.driver.tick(50)
+                self.driver.reduce(
+                    events.ServersHeard((self.first.server_id,))
+                )
+                self.assertEqual([], self.driver.effects_of(effects.Abandon))
+            self.driver.reduce(events.StreamsAdvanced((advance,)))
+
     def abandon_overdue(self):
         """Waits for the answer at a server that answers others.
 
--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -244,7 +244,9 @@
     ) -> None:
         """Waits for the answer to this request.
 
-        The second answer to an earlier request may come first.
+        The second answer to an earlier request may come first. One that
+        does not name its request is this one's only if the connection has
+        carried no other.
         """
         while True:
             await channel.wait_head()
@@ -253,6 +255,8 @@
             assert channel.head is not None
             head = self._protocol.read_head(channel.head)
             self._announce(call, head)
+            if not head.request_id and channel.uses > 1:
+                raise _Broken('garbled', 'unknown')
             if not head.request_id or head.request_id == call.request.id:
                 call.head = head
                 return
--- a/packages/ragwortgw-server/tests/test_backend_calls.py
+++ b/packages/ragwortgw-server/tests/test_backend_calls.py
@@ -16,8 +16,9 @@
     failure = None
     head = object()
 
-    def __init__(self, pieces):
+    def __init__(self, pieces, uses=1):
         self._pieces = list(pieces)
+        self.uses = uses
 
     def send(self, call):
         pass
@@ -154,6 +155,30 @@
             announced,
         )
 
+    async def test_answer_without_an_id_on_a_used_connection_is_not_taken(
+        self,
+    ):
+        """It may be a late copy of the answer to an earlier request."""
+        for not_run in (True, False):
+            self.events.clear()
+            self.protocol.read_head.return_value = requests.AnswerHead(
+                503, (), '', not_run, False, None, None, False
+            )
+            channel = ScriptedChannel([], uses=2)
+            self.calls.pool.kept.return_value = channel
+            self.dispatch('r.1')
+            while not self.events:
+                await asyncio.sleep(0)
+            self.assertEqual(
+                [events.AttemptBroke('r.1', 'garbled', 'unknown', 0)],
+                self.events,
+            )
+            self.calls.pool.discard.assert_called_with('s', channel)
+
+    async def test_answer_without_an_id_on_a_new_connection_is_taken(self):
+        refused = await self.answer(request_id='')
+        self.assertEqual(events.AttemptRefused('r.1', False), refused)
+
     async def test_another_server_announces_nothing_of_the_expected_one(self):
         first = await self.answer(leaving=True, other_server=True)
         self.assertIsInstance(first, events.AttemptRefused)
