Judge plain servers by what this gateway hears alone

Change: what peers hear counts for model servers only, where requests wait in a queue. Plain servers answer at once, so that own silence says enough.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/timeouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/timeouts.py
@@ -15,8 +15,9 @@
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import gateway_state
 
-#: A server with requests in progress is silent if it sent nothing at all, to
-#: any gateway, for this long. While it prefills a long prompt, each token of
+#: A server with requests in progress is silent if it sent nothing at all for
+#: this long; a model server, where requests wait in a queue, if it sent
+#: nothing to any gateway. While it prefills a long prompt, each token of
 #: other requests waits for one chunk of the prefill, a quarter of a second on
 #: a large model, and an event has several tokens. PENDING_FACTOR times the
 #: estimated prefill of the prompts that are queued there is added.
@@ -115,10 +116,12 @@
     server_id = attempt.server.id
     since_ms = max(
         state.last_seen_ms_by_server.get(server_id, 0),
-        state.peers_seen_ms_by_server.get(server_id, 0),
         attempt.sent_ms,
         attempt.answered_ms,
     )
+    if attempt.model:
+        peers_seen_ms = state.peers_seen_ms_by_server.get(server_id, 0)
+        since_ms = max(since_ms, peers_seen_ms)
     pending_ms = state.loads.remaining(server_id, stamp.now_ms).pending_ms
     if not attempt.answered_ms:
         pending_ms = max(pending_ms, attempt.expected_ms)
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -661,6 +661,23 @@
             self.assertEqual([], self.driver.effects_of(effects.Abandon))
 
 
+class SilentPlainServerTest(unittest.TestCase):
+    def test_plain_server_that_answers_only_peers_is_given_up(self):
+        """This gateway has lost its path to the server."""
+        driver = harness.GatewayDriver().start(servers=('s1',))
+        driver.arrive('r1', 'status')
+        peer = harness.GatewayDriver('edge-2').start(servers=('s1',))
+        peer.arrive('p1', 'status')
+        while not driver.effects_of(effects.Abandon):
+            peer.now_ms = driver.now_ms
+            peer.reduce(events.ServersHeard(('s1',)))
+            driver.receive_digest_from(peer)
+            driver.tick(50)
+            self.assertLess(driver.now_ms, harness.START_MS + 4_000)
+        (abandoned,) = driver.effects_of(effects.Abandon)
+        self.assertEqual('silent', abandoned.reason)
+
+
 class OverloadTest(unittest.TestCase):
     """Offers more load than the servers can finish in time."""
 
