Write a lost head with the documents that it names

Cause: read again. While an entry writes a lost configuration, a peer may offer a newer one; the head that was then written was the newer one, whose documents had not been written, so that other entries could not load it. Change: an attempt writes the head that it began with; the newer one follows as the next attempt. Test: NewerOfferTest, which failed before (revision 6 in place of 5).

--- a/packages/ragwortgw-core/ragwortgw_core/config_rewrite.py
+++ b/packages/ragwortgw-core/ragwortgw_core/config_rewrite.py
@@ -54,6 +54,8 @@
         self._due_at_ms = 0
         self._attempt = 0
         self._base: platform.Found | None = None
+        #: The head that is written in the present attempt.
+        self._value = b''
         self._unwritten = 0
         calls.register(OWNER, self)
         store.older_head_listeners.append(self.on_older_head)
@@ -122,6 +124,7 @@
             # Another entry has written it, or its successor.
             return []
         self._base = base
+        self._value = self._store.head_value
         missing = [
             path
             for path, revision in self._store.head()['objects'].items()
@@ -157,7 +160,7 @@
         assert self._base is not None
         put = platform.Put(
             configuration.HEAD_KEY,
-            self._store.head_value,
+            self._value,
             self._base.revision,
         )
         return self._call(stamp, 'head', put)
--- a/packages/ragwortgw-core/tests/test_config_rewrite.py
+++ b/packages/ragwortgw-core/tests/test_config_rewrite.py
@@ -5,11 +5,15 @@
 import msgspec
 
 from ragwortgw_core import config_rewrite
+from ragwortgw_core import config_store
 from ragwortgw_core import configuration
 from ragwortgw_core import effects
+from ragwortgw_core import events
 from ragwortgw_core import platform
+from ragwortgw_core import platform_calls
 from ragwortgw_core import restores
 from tests import platform_model
+from tests import test_config_store
 from tests import test_configuration
 from tests import test_orders
 
@@ -157,3 +161,44 @@
                 for entry in self.entries
             )
         )
+
+
+class NewerOfferTest(unittest.TestCase):
+    """A peer offers a newer configuration while one is written again."""
+
+    def setUp(self):
+        self.calls = platform_calls.PlatformCalls()
+        self.store = config_store.new_store(self.calls)
+        self.rewriter = config_rewrite.new_rewriter(self.calls, self.store)
+        self.stamp = events.Stamp(platform_model.START_MS, 0)
+        self.offer(5)
+
+    def offer(self, revision):
+        self.store.offer(self.stamp, *test_config_store.offer_of(revision))
+
+    def answer(self, effect, result):
+        return [
+            output
+            for output in self.calls.on_answer(
+                self.stamp, effect.op_id, result
+            )
+            if isinstance(output, effects.CallPlatform)
+        ]
+
+    def test_head_is_written_with_the_documents_that_it_names(self):
+        revision = platform.revision_in_epoch(1, 9)
+        older, _ = test_config_store.offer_of(4)
+        found = platform.Found(configuration.HEAD_KEY, older, revision)
+        self.calls.restores.observe(self.stamp, found)
+        self.rewriter.on_older_head(self.stamp)
+        self.stamp = self.stamp._replace(now_ms=self.stamp.now_ms + 1_000)
+        (read,) = self.rewriter.on_tick(self.stamp)
+        documents = self.answer(read, found)
+        self.assertGreater(len(documents), 0)
+        self.offer(6)
+        heads = []
+        for effect in documents:
+            written = platform.Written(effect.call.key, revision + 1)
+            heads += self.answer(effect, written)
+        (head,) = heads
+        self.assertEqual(5, msgspec.json.decode(head.call.value)['revision'])
