Report no restore when an entry starts in a later epoch

Cause: each start of an entry at a service that was restored once would have logged and counted a restore. Change: the first epoch that a process meets is only waited for (2.5 s for keys and orders), not reported or repeated for; there is nothing to repeat.

--- a/packages/ragwortgw-core/ragwortgw_core/restores.py
+++ b/packages/ragwortgw-core/ragwortgw_core/restores.py
@@ -28,8 +28,8 @@
 class RestoreTracker:
     """Follows the epoch of the platform service.
 
-    A process that meets a later epoch than the first can't know how long
-    ago it began, and takes it for new.
+    A process that starts in a later epoch than the first can't know how
+    long ago it began, and waits as after a restore.
 
     Attributes:
       epoch: The latest epoch seen.
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self.epoch = 0
         self.settled_at_ms = 0
+        self._answered = False
         self._listeners: list[Listener] = []
 
     def register(self, listener: Listener) -> None:
@@ -65,13 +66,16 @@
           result: The result.
         Returns: Effects and notices of the listeners.
         """
-        epoch = platform.epoch_of(getattr(result, 'revision', 0))
+        revision = getattr(result, 'revision', 0)
+        epoch = platform.epoch_of(revision)
+        at_start = not self._answered
+        self._answered = self._answered or revision > 0
         if epoch <= self.epoch:
             return []
         fields = {'epoch': epoch, 'epoch_before': self.epoch}
         self.epoch = epoch
         self.settled_at_ms = stamp.now_ms + SETTLE_MS
-        if not self._listeners:
+        if at_start or not self._listeners:
             return []
         outputs: list[Any] = [
             effects.Count('platform_restores', ()),
