--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -474,15 +474,20 @@
     stamp: core_events.Stamp,
     ran: str,
 ) -> core_effects.Record:
+    answered_ms = attempt.answered_ms
+    prompt = active.request.prompt
     return core_effects.Record(
         'attempt-broke',
         {
             'request': active.request.id,
             'attempt': attempt.id,
             'server': attempt.server.id,
+            'started_ms': attempt.server.started_ms,
             'reason': active.last_failure,
             'ran': ran,
             'after_ms': stamp.now_ms - attempt.sent_ms,
+            'answering_ms': stamp.now_ms - answered_ms if answered_ms else 0,
             'last_event': active.last_event_id,
+            'blocks': [] if prompt is None else list(prompt.shared_ids),
         },
     )
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/requests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/requests.py
@@ -6,6 +6,10 @@
 
 #: Model name with which a caller leaves the choice to the gateway.
 ANY_MODEL = '*'
+#: Blocks of a prompt that are told apart in logs and messages.
+MAX_SHARED_BLOCKS = 16
+#: Length to which their ids are cut there.
+MAX_ID_CHARS = 64
 
 
 class PrefixBlock(NamedTuple):
@@ -34,6 +38,15 @@
         """Tokens of prompt and answer; a generated one counts ten times."""
         return max(1, self.tokens + 10 * self.output_tokens)
 
+    @property
+    def shared_ids(self) -> tuple[str, ...]:
+        """Ids of the blocks that other requests may have as well, in order.
+
+        Headers are untrusted: long ids are cut, and further blocks left out.
+        """
+        shared = self.blocks[:-1][:MAX_SHARED_BLOCKS]
+        return tuple(block.id[:MAX_ID_CHARS] for block in shared)
+
     @property
     def affinity(self) -> str:
         """Id of the last block that other requests may share, '' if none."""
