--- /dev/null
+++ b/packages/ragwortgw-gateway/tests/crash_fleet.py
@@ -0,0 +1,249 @@
+"""Several gateways and backend servers that crash; all in simulated time."""
+
+from typing import NamedTuple
+
+from ragwortgw_core import effects as core_effects
+from ragwortgw_core import events as core_events
+from ragwortgw_core import platform
+from ragwortgw_gateway import effects
+from ragwortgw_gateway import events
+from ragwortgw_gateway import requests
+from tests import harness
+
+STEP_MS = 50
+#: Time until a server begins to answer, and until the answer is complete.
+BEGIN_MS = 200
+END_MS = 700
+#: Time until another server takes the place of one that crashed.
+REPLACE_MS = 3_000
+#: Time after which a gateway that a message was sent to has it.
+BAD_BLOCK = 'bad'
+
+
+class Execution(NamedTuple):
+    """A request that a server works on."""
+
+    gateway: 'RecordingGateway'
+    dispatch: requests.Dispatch
+    sent_ms: int
+    bad: bool
+
+
+class RecordingGateway(harness.GatewayDriver):
+    """Keeps the sends, messages and other effects of all events."""
+
+    def __init__(self, host_id):
+        self.recorded = []
+        super().__init__(host_id)
+
+    def reduce(self, event):
+        result = super().reduce(event)
+        self.recorded += result
+        return result
+
+    def take(self, kind):
+        """Returns the recorded effects of one type, and forgets them."""
+        taken = [each for each in self.recorded if isinstance(each, kind)]
+        self.recorded = [
+            each for each in self.recorded if not isinstance(each, kind)
+        ]
+        return taken
+
+
+class CrashFleet:
+    """Gateways, and servers that a bad block crashes.
+
+    Attributes:
+      gateways: The gateways.
+      now_ms: The time.
+      crashed: (time, server) of each crash under the bad block.
+      bad_sent: Times at which requests with the bad block reached a server.
+      refused: Ids of the requests that were refused.
+      answered: Ids of the requests that were answered.
+    """
+
+    def __init__(self, gateway_count=3, server_count=6):
+        self.gateways = []
+        self.now_ms = harness.START_MS
+        self.servers = [f's{n}' for n in range(server_count)]
+        self.crashed = []
+        self.bad_sent = []
+        self.refused = []
+        self.answered = []
+        self._executions = []
+        self._request_count = 0
+        self._replacements = []
+        self._bad_ids = set()
+        self._stored = {}
+        for number in range(gateway_count):
+            self.add_gateway(f'edge-{number}')
+        self.run(1_000)
+
+    def add_gateway(self, host_id):
+        """Starts a gateway with what the store holds."""
+        gateway = RecordingGateway(host_id)
+        gateway.now_ms = self.now_ms
+        gateway.start(self.servers)
+        gateway.revision += len(self._stored)
+        for key, value in self._stored.items():
+            gateway.write(key, value)
+        self.gateways.append(gateway)
+        return gateway
+
+    def restart(self, gateway):
+        """Ends a gateway's process and starts another on its host."""
+        self.gateways.remove(gateway)
+        self._executions = [
+            each for each in self._executions if each.gateway is not gateway
+        ]
+        return self.add_gateway(gateway.state.host_id)
+
+    def send(self, gateway, blocks, **changes):
+        """Has a caller send a request to a gateway.
+
+        Args:
+          gateway: The gateway.
+          blocks: Ids of the blocks that other requests may share.
+          changes: Other fields of the request.
+        Returns: Its id.
+        """
+        self._request_count += 1
+        request_id = f'r{self._request_count}'
+        own = requests.PrefixBlock(f'own-{self._request_count}', 100)
+        shared = (requests.PrefixBlock(each, 500) for each in blocks)
+        prompt = requests.Prompt(1_000, 100, (*shared, own))
+        if BAD_BLOCK in blocks:
+            self._bad_ids.add(request_id)
+        gateway.arrive(request_id, 'draft', prompt=prompt, **changes)
+        self._follow(gateway)
+        return request_id
+
+    def run(self, duration_ms):
+        """Lets time pass."""
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            self.now_ms += STEP_MS
+            self._replace_servers()
+            self._work()
+            for gateway in self.gateways:
+                gateway.tick(self.now_ms - gateway.now_ms)
+                self._follow(gateway)
+
+    def crash(self, *server_ids):
+        """Ends servers, whatever they work on."""
+        for server_id in server_ids:
+            self.servers.remove(server_id)
+            self._replacements.append((self.now_ms + REPLACE_MS, server_id))
+        broken = [
+            each
+            for each in self._executions
+            if each.dispatch.server_id in server_ids
+        ]
+        for execution in broken:
+            self._executions.remove(execution)
+        for execution in broken:
+            execution.gateway.break_attempt(execution.dispatch)
+            self._follow(execution.gateway)
+
+    def reset_connections(self, server_id):
+        """Resets all connections to a server that lives on."""
+        broken = [
+            each
+            for each in self._executions
+            if each.dispatch.server_id == server_id
+        ]
+        for execution in broken:
+            self._executions.remove(execution)
+            execution.gateway.break_attempt(execution.dispatch)
+            self._follow(execution.gateway)
+
+    def _replace_servers(self):
+        due = [each for each in self._replacements if each[0] <= self.now_ms]
+        for replacement in due:
+            self._replacements.remove(replacement)
+            old_id = replacement[1]
+            new_id = f'{old_id}+'
+            self.servers.append(new_id)
+            for gateway in self.gateways:
+                gateway.delete(f'servers/{old_id}')
+                gateway.write(f'servers/{new_id}', harness.make_server(new_id))
+                self._follow(gateway)
+
+    def _work(self):
+        for execution in list(self._executions):
+            if execution not in self._executions:
+                continue
+            age_ms = self.now_ms - execution.sent_ms
+            gateway = execution.gateway
+            gateway.now_ms = self.now_ms
+            server_id = execution.dispatch.server_id
+            if age_ms == BEGIN_MS and execution.bad:
+                self.crashed.append((self.now_ms, server_id))
+                self.crash(server_id)
+            elif age_ms == BEGIN_MS:
+                gateway.reduce(events.ServersHeard((server_id,)))
+                gateway.receive_answer_head(execution.dispatch, confidence=100)
+            elif age_ms >= END_MS:
+                gateway.reduce(events.ServersHeard((server_id,)))
+                gateway.finish_attempt(execution.dispatch)
+                self._executions.remove(execution)
+                self.answered.append(execution.dispatch.request_id)
+            self._follow(gateway)
+
+    def _follow(self, gateway):
+        """Carries out the effects of a gateway's events."""
+        while gateway.recorded:
+            recorded, gateway.recorded = gateway.recorded, []
+            for effect in recorded:
+                self._apply(gateway, effect)
+
+    def _apply(self, gateway, effect):
+        if isinstance(effect, effects.Send):
+            self._reach_server(gateway, effect.dispatch)
+        elif isinstance(effect, effects.Cancel):
+            self._executions = [
+                each
+                for each in self._executions
+                if each.dispatch.attempt_id != effect.attempt_id
+            ]
+        elif isinstance(effect, effects.Refuse):
+            self.refused.append(effect.request_id)
+        elif isinstance(effect, core_effects.CallPlatform):
+            self._write(gateway, effect)
+        else:
+            self._relay(effect)
+
+    def _reach_server(self, gateway, dispatch):
+        bad = dispatch.request_id in self._bad_ids
+        if dispatch.server_id not in self.servers:
+            gateway.break_attempt(dispatch, 'refused', 'no')
+            return
+        if bad:
+            self.bad_sent.append(self.now_ms)
+        self._executions.append(Execution(gateway, dispatch, self.now_ms, bad))
+
+    def _relay(self, effect):
+        addresses = getattr(effect, 'addresses', ())
+        for field in ('digest', 'note', 'report'):
+            message = getattr(effect, field, None)
+            if message is None:
+                continue
+            for other in self.gateways:
+                if other.state.digest_address in addresses:
+                    other.now_ms = self.now_ms
+                    other.receive_message(message)
+
+    def _write(self, gateway, effect):
+        call = effect.call
+        if not isinstance(call, platform.Put) or call.lease:
+            return
+        gateway.store_calls = [
+            each for each in gateway.store_calls if each.op_id != effect.op_id
+        ]
+        written = platform.Written(call.key, gateway.revision + 1)
+        gateway.reduce(core_events.PlatformAnswered(effect.op_id, written))
+        self._stored[call.key] = call.value
+        for other in self.gateways:
+            other.revision += 1
+            found = platform.Found(call.key, call.value, other.revision)
+            other.deliver_changes(found)
--- a/packages/ragwortgw-server/tests/test_backend_calls.py
+++ b/packages/ragwortgw-server/tests/test_backend_calls.py
@@ -78,6 +78,12 @@
         self.assertEqual({'r.1': 3}, dict(self.calls.advanced))
         self.assertEqual(4, self.events[-1].events)
 
+    async def test_stream_that_ends_inside_an_event_was_cut_by_its_server(
+        self,
+    ):
+        await self.play(b'id: 1\ndata: a\n\n', b'id: 2\nda')
+        self.assertEqual('reset', self.events[-1].reason)
+
     def dispatch(self, attempt_id):
         """Sends a plain attempt to the server 's'."""
         dispatch = requests.Dispatch(
