--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -332,7 +332,8 @@
         if channel.failure is not None:
             raise _Broken(REASONS[channel.failure.reason], 'unknown')
         if splitter.rest or not announced:
-            raise _Broken('garbled', 'unknown')
+            # An answer without a length ends like this if its server does.
+            raise _Broken('reset', 'unknown')
         self._release(call)
         answer = requests.Answer(call.head.status, (), b'')
         return events.AttemptEnded(call.dispatch.attempt_id, answer, count)
