--- a/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_simulation.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_simulation.py
@@ -359,6 +359,8 @@
             self._tell_peers(effect.addresses, effect.digest)
         elif isinstance(effect, effects.SendNote):
             self._tell_peers(effect.addresses, effect.note)
+        elif isinstance(effect, effects.SendCrashReport):
+            self._tell_peers(effect.addresses, effect.report)
         elif isinstance(effect, core_effects.CallPlatform):
             self._call_store(number, effect)
 
@@ -480,18 +482,14 @@
     def _tell_peers(
         self,
         addresses: tuple[str, ...],
-        message: digests.Digest | digests.Note,
+        message: digests.Message,
     ) -> None:
         encoded = digests.encode(message)
         for address in addresses:
             number = self._gateway_by_address[address]
             decoded = digests.decode(encoded)
-            received: Any
-            if isinstance(decoded, digests.Note):
-                received = events.NoteReceived(decoded)
-            else:
-                assert decoded is not None
-                received = events.DigestReceived(decoded)
+            assert decoded is not None
+            received = events.received(decoded)
             self._at(
                 WAY_MS,
                 functools.partial(self._reduce, number, received),
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -11,6 +11,8 @@
 from ragwortgw_core import events as core_events
 from ragwortgw_gateway import admission
 from ragwortgw_gateway import completion
+from ragwortgw_gateway import crash_containment
+from ragwortgw_gateway import crash_evidence
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import dispatching
 from ragwortgw_gateway import effects
@@ -122,6 +124,9 @@
         attempt = active.attempts_by_id[attempt_id]
         elapsed_ms = stamp.now_ms - attempt.advanced_ms
         attempt.advanced_ms = stamp.now_ms
+        answering_ms = stamp.now_ms - attempt.answered_ms
+        if answering_ms >= crash_evidence.SOUND_AFTER_MS:
+            crash_containment.record_sound(state, stamp, active, attempt)
         state.latency.observe_events(
             active.route.id, attempt.model, count, elapsed_ms, stamp.now_ms
         )
@@ -150,6 +155,7 @@
                 stamp.now_ms - attempt.answered_ms,
             )
         _record_success(state, active, attempt)
+        crash_containment.record_sound(state, stamp, active, attempt)
         return [
             effects.FinishStream(active.request.id),
             *completion.finish(state, stamp, active, 'answered'),
@@ -215,6 +221,9 @@
             state, stamp, active, attempt, event.reason
         )
     outputs.append(_record_broken_attempt(active, attempt, stamp, event.ran))
+    outputs += crash_containment.record_broken(
+        state, stamp, active, attempt, event.reason
+    )
     if event.reason in UNCONNECTED:
         return [*outputs, *_redispatch_unconnected(state, stamp, active)]
     if event.ran == 'no':
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -3,7 +3,7 @@
 A digest is a summary of one gateway's state, sent several times a second. A
 note reports an attempt that was just sent to a backend server: without it,
 peers would take that server for idle until the next digest, and all send
-there.
+there. A crash report is sent when a backend server has crashed.
 """
 
 from typing import NamedTuple
@@ -143,6 +143,67 @@
     prefill: Prefill
 
 
+class BrokenAttempt(NamedTuple):
+    """An attempt that may have crashed its backend server.
+
+    Args:
+      sent_ago_ms: Time since it was sent.
+      fingerprint: Hash of the request's path, key and body.
+      blocks: Ids of the prefix blocks that other requests may share.
+    """
+
+    sent_ago_ms: int
+    fingerprint: int
+    blocks: tuple[str, ...]
+
+
+class ServerCrash(NamedTuple):
+    """A crash of a backend server, and what it had not begun to answer.
+
+    Args:
+      server: Id of the server.
+      started_ms: When its process started, by its own clock.
+      age_ms: Time since the crash.
+      confirmed: Whether the server refused a connection since.
+      suspects: Attempts of the sender that may have caused it.
+    """
+
+    server: str
+    started_ms: int
+    age_ms: int
+    confirmed: bool
+    suspects: tuple[BrokenAttempt, ...]
+
+
+class QuarantinedBlock(NamedTuple):
+    """A prefix block that is sent to no backend server.
+
+    Args:
+      block: Id of the block.
+      left_ms: Time until it is sent again.
+    """
+
+    block: str
+    left_ms: int
+
+
+class CrashReport(NamedTuple):
+    """What one gateway knows of prompts that crash backend servers.
+
+    Args:
+      sender: Host id of the gateway.
+      crashes: The latest crashes that it observed itself.
+      sound_ages_ms: Time since the last sound answer began there, by block,
+        for blocks of which crashes are known.
+      quarantined: Blocks that it sends to no server.
+    """
+
+    sender: str
+    crashes: tuple[ServerCrash, ...]
+    sound_ages_ms: dict[str, int]
+    quarantined: tuple[QuarantinedBlock, ...]
+
+
 class Digest(NamedTuple):
     """Summary of one gateway's state.
 
@@ -182,21 +243,27 @@
 
 
 #: First byte of a datagram, by the type of the message.
-TAGS_BY_TYPE: dict[type, bytes] = {Digest: b'd', Note: b'n'}
+TAGS_BY_TYPE: dict[type, bytes] = {
+    Digest: b'd',
+    Note: b'n',
+    CrashReport: b'c',
+}
 TYPES_BY_TAG = {tag: type_ for type_, tag in TAGS_BY_TYPE.items()}
 
+Message = Digest | Note | CrashReport
+
 
-def encode(message: Digest | Note) -> bytes:
-    """Encodes a digest or a note as one datagram."""
+def encode(message: Message) -> bytes:
+    """Encodes a message as one datagram."""
     return TAGS_BY_TYPE[type(message)] + msgspec.msgpack.encode(message)
 
 
-def decode(data: bytes) -> Digest | Note | None:
+def decode(data: bytes) -> Message | None:
     """Decodes a datagram.
 
     Args:
       data: The datagram.
-    Returns: The digest or note, None if the bytes are neither.
+    Returns: The message, None if the bytes are none.
     """
     message_type = TYPES_BY_TAG.get(data[:1])
     if message_type is None:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -11,6 +11,7 @@
 from ragwortgw_core import events
 from ragwortgw_gateway import admission
 from ragwortgw_gateway import completion
+from ragwortgw_gateway import crash_containment
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import documents
 from ragwortgw_gateway import effects
@@ -57,6 +58,9 @@
             f'{active.request.fingerprint:016x}', admission.QUARANTINE_RETRY_MS
         )
         return completion.fail_request(state, stamp, active, failure)
+    suspected = crash_containment.refusal(state, active)
+    if suspected is not None:
+        return completion.fail_request(state, stamp, active, suspected)
     if (
         active.executions + len(active.attempts_by_id)
         >= active.route.max_attempts
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
@@ -89,6 +89,13 @@
     note: digests.Note
 
 
+class SendCrashReport(NamedTuple):
+    """Sends a report on crashes to peers, 'ip:port' each."""
+
+    addresses: tuple[str, ...]
+    report: digests.CrashReport
+
+
 class FetchBeliefs(NamedTuple):
     """Asks a peer, 'ip:port', for what is newer than a store revision."""
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -3,7 +3,8 @@
 Those of all roles are in ragwortgw_core.events.
 """
 
-from typing import Literal, NamedTuple
+from collections.abc import Callable
+from typing import Any, Literal, NamedTuple
 
 from ragwortgw_core import errors
 from ragwortgw_gateway import digests
@@ -125,6 +126,25 @@
     note: digests.Note
 
 
+class CrashReportReceived(NamedTuple):
+    """A peer sent a report on crashes."""
+
+    report: digests.CrashReport
+
+
+#: Events by the type of the message that a peer sent.
+EVENTS_BY_MESSAGE: dict[type, Callable[[Any], Any]] = {
+    digests.Digest: DigestReceived,
+    digests.Note: NoteReceived,
+    digests.CrashReport: CrashReportReceived,
+}
+
+
+def received(message: digests.Message) -> Any:
+    """Returns the event that a message from a peer makes."""
+    return EVENTS_BY_MESSAGE[type(message)](message)
+
+
 class BeliefsOffered(NamedTuple):
     """A peer sent its view of the store."""
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -15,6 +15,7 @@
 from ragwortgw_gateway import announcements
 from ragwortgw_gateway import attempts
 from ragwortgw_gateway import completion
+from ragwortgw_gateway import crash_containment
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import dispatching
 from ragwortgw_gateway import effects
@@ -34,7 +35,13 @@
 Options = limits.Options
 REDUCER = gateway_state.REDUCER
 #: Modules that register handlers when they are imported.
-HANDLERS = (attempts, announcements, store_changes, gossip)
+HANDLERS = (
+    attempts,
+    announcements,
+    crash_containment,
+    store_changes,
+    gossip,
+)
 
 #: Retry-After while the gateway has no configuration yet.
 NO_CONFIGURATION_RETRY_MS = 500
@@ -215,6 +222,7 @@
     )
     outputs += store_changes.on_tick(state, stamp)
     outputs += _admit_held(state, stamp)
+    outputs += crash_containment.on_tick(state, stamp)
     outputs += timeouts.on_tick(state, stamp)
     outputs += _update_rollouts(state, stamp)
     outputs += gossip.send_digests(state, stamp)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -10,6 +10,7 @@
 from ragwortgw_core import platform
 from ragwortgw_core import platform_calls
 from ragwortgw_core import reducer
+from ragwortgw_gateway import crash_evidence
 from ragwortgw_gateway import crashes
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import documents
@@ -21,8 +22,10 @@
 from ragwortgw_gateway import outlier_ejection
 from ragwortgw_gateway import placement
 from ragwortgw_gateway import prefixes
+from ragwortgw_gateway import quarantine
 from ragwortgw_gateway import queue_waits
 from ragwortgw_gateway import refusal_history
+from ragwortgw_gateway import report_schedule
 from ragwortgw_gateway import requests
 from ragwortgw_gateway import retry_budget
 from ragwortgw_gateway import rollouts
@@ -36,6 +39,12 @@
 
 #: A peer whose last digest is older than this is taken to be dead.
 PEER_LIFETIME_MS = 2_500
+#: Attempts that broke in one crash of a server go into one report.
+CRASH_REPORT_DELAY_MS = 50
+#: Shortest time between two reports on crashes.
+CRASH_REPORT_INTERVAL_MS = 250
+#: Time after which a report is sent once more, since datagrams get lost.
+CRASH_REPORT_REPEAT_MS = 1_000
 #: Range of the priorities that backend servers accept, most urgent first.
 FIRST_URGENCY = 0
 LAST_URGENCY = 9
@@ -286,6 +295,15 @@
         self.outliers = outlier_ejection.OutlierDetector()
         self.backoff = server_backoff.BackoffTracker()
         self.crashes = crashes.CrashTracker()
+        self.crash_evidence = crash_evidence.CrashEvidence(self.heard_since)
+        self.crash_reports = report_schedule.ReportSchedule(
+            CRASH_REPORT_DELAY_MS,
+            CRASH_REPORT_INTERVAL_MS,
+            CRASH_REPORT_REPEAT_MS,
+        )
+        self.quarantine = quarantine.BlockQuarantine(
+            self.platform_calls, formats
+        )
         self.tiers = tiers.TierSelector()
         self.refusal_history = refusal_history.RefusalHistory()
         self.shares = shares.ShareTracker()
@@ -383,6 +401,21 @@
             return 0
         return self.configuration.version
 
+    def heard_since(self, process: fleet.ServerProcess, since_ms: int) -> bool:
+        """Returns whether a server sent anything to any gateway since a time.
+
+        Args:
+          process: The server; what a later start of it sends does not count.
+          since_ms: The time.
+        """
+        server = self.fleet.servers_by_id.get(process.id)
+        if server is None or server.started_ms != process.started_ms:
+            return False
+        return since_ms < max(
+            self.last_seen_ms_by_server.get(process.id, 0),
+            self.peers_seen_ms_by_server.get(process.id, 0),
+        )
+
     def cache_tokens(self, service_id: str) -> int:
         """Returns the KV cache of one server in tokens, 0 if unknown."""
         service = self.service(service_id)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gauges.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gauges.py
@@ -46,6 +46,7 @@
         'gateway_store_reachable': state.link.reachable,
         'gateway_store_age_ms': now_ms - state.values.confirmed_ms,
         'gateway_peers': len(last_seen_ms),
+        'gateway_blocks_in_quarantine': len(state.quarantine.blocks),
         'gateway_oldest_digest_ms': oldest_ms,
     }
     for metric, value in values_by_metric.items():
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
@@ -89,6 +89,9 @@
     ):
         if previous.digest.sequence >= digest.sequence:
             return []
+    elif state.quarantine.blocks:
+        # One that has just started may have no store to read them from.
+        state.crash_reports.add_news(stamp.now_ms)
     state.peers_by_id[digest.sender] = gateway_state.Peer(digest, stamp.now_ms)
     state.peer_addresses_by_id[digest.sender] = digest.address
     state.loads.merge_remote(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/store_changes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_changes.py
@@ -18,6 +18,7 @@
 from ragwortgw_core import effects as core_effects
 from ragwortgw_core import events as core_events
 from ragwortgw_core import platform
+from ragwortgw_gateway import crash_containment
 from ragwortgw_gateway import documents
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import fleet
@@ -76,6 +77,7 @@
     )
     state.link.register_again(stamp.now_ms + stamp.seed % REGISTER_SPREAD_MS)
     state.rollouts.on_store_restored(stamp.now_ms)
+    state.quarantine.on_store_restored(stamp)
     fields = {
         'epoch': notice.epoch,
         'before': notice.before,
@@ -302,10 +304,15 @@
 def _apply_gateway_values(
     state: State, stamp: core_events.Stamp, notice: notices.PrefixChanged
 ) -> list[Any]:
-    """Applies addresses of gateways and steps of roll-outs."""
+    """Applies addresses of gateways, steps of roll-outs and quarantines."""
     outputs: list[Any] = []
     hosts_prefix = f'{notice.prefix}hosts/'
     for entry in notice.written:
+        if state.quarantine.owns(entry.key):
+            block = state.quarantine.apply_value(entry, stamp)
+            if block:
+                outputs += crash_containment.on_stored(state, stamp, block)
+            continue
         if not entry.key.startswith(hosts_prefix):
             step = state.rollouts.apply_step(entry, stamp.now_ms)
             if step is not None:
@@ -318,13 +325,30 @@
         if host_id != state.host_id and address:
             state.peer_addresses_by_id[host_id] = address
     for key in notice.deleted:
-        if key.startswith(hosts_prefix):
+        if state.quarantine.owns(key):
+            outputs += _release_block(state, stamp, key)
+        elif key.startswith(hosts_prefix):
             state.peer_addresses_by_id.pop(key[len(hosts_prefix) :], None)
         else:
             state.rollouts.forget_step(key)
     return outputs
 
 
+def _release_block(
+    state: State, stamp: core_events.Stamp, key: str
+) -> list[Any]:
+    """Releases the block of a value that an operator deleted.
+
+    A restored store has lost values; those are written again.
+    """
+    if settling(state, stamp.now_ms):
+        return []
+    block = state.quarantine.apply_deletion(key)
+    if not block:
+        return []
+    return crash_containment.on_released(state, block, 'deleted')
+
+
 def _read_address(entry: platform.Found) -> str:
     """Returns the address in a gateway's entry, '' if it has none."""
     try:
--- a/packages/ragwortgw-gateway/tests/crash_fleet.py
+++ b/packages/ragwortgw-gateway/tests/crash_fleet.py
@@ -16,7 +16,7 @@
 END_MS = 700
 #: Time until another server takes the place of one that crashed.
 REPLACE_MS = 3_000
-#: Time after which a gateway that a message was sent to has it.
+#: Block whose prompts crash servers.
 BAD_BLOCK = 'bad'
 
 
@@ -60,6 +60,8 @@
       bad_sent: Times at which requests with the bad block reached a server.
       refused: Ids of the requests that were refused.
       answered: Ids of the requests that were answered.
+      stored: Values by key that gateways wrote to the store.
+      store_reachable: Whether the store answers what they write.
     """
 
     def __init__(self, gateway_count=3, server_count=6):
@@ -74,7 +76,8 @@
         self._request_count = 0
         self._replacements = []
         self._bad_ids = set()
-        self._stored = {}
+        self.stored = {}
+        self.store_reachable = True
         for number in range(gateway_count):
             self.add_gateway(f'edge-{number}')
         self.run(1_000)
@@ -82,12 +85,18 @@
     def add_gateway(self, host_id):
         """Starts a gateway with what the store holds."""
         gateway = RecordingGateway(host_id)
+        gateway.state.incarnation = f'{host_id}-{self.now_ms}'
         gateway.now_ms = self.now_ms
         gateway.start(self.servers)
-        gateway.revision += len(self._stored)
-        for key, value in self._stored.items():
+        gateway.revision += len(self.stored)
+        for key, value in self.stored.items():
             gateway.write(key, value)
         self.gateways.append(gateway)
+        for each in self.gateways:
+            each.state.peer_addresses_by_id = {
+                other.state.host_id: other.state.digest_address
+                for other in self.gateways
+            }
         return gateway
 
     def restart(self, gateway):
@@ -98,12 +107,21 @@
         ]
         return self.add_gateway(gateway.state.host_id)
 
-    def send(self, gateway, blocks, **changes):
+    def forget_stored(self):
+        """Has the store lose what gateways wrote."""
+        self.stored.clear()
+
+    def stamp(self):
+        """Returns the time with a fixed random number."""
+        return core_events.Stamp(self.now_ms, 0)
+
+    def send(self, gateway, blocks, crashes=False, **changes):
         """Has a caller send a request to a gateway.
 
         Args:
           gateway: The gateway.
           blocks: Ids of the blocks that other requests may share.
+          crashes: Whether it crashes servers whatever its blocks.
           changes: Other fields of the request.
         Returns: Its id.
         """
@@ -112,7 +130,8 @@
         own = requests.PrefixBlock(f'own-{self._request_count}', 100)
         shared = (requests.PrefixBlock(each, 500) for each in blocks)
         prompt = requests.Prompt(1_000, 100, (*shared, own))
-        if BAD_BLOCK in blocks:
+        gateway.now_ms = self.now_ms
+        if crashes or BAD_BLOCK in blocks:
             self._bad_ids.add(request_id)
         gateway.arrive(request_id, 'draft', prompt=prompt, **changes)
         self._follow(gateway)
@@ -237,12 +256,14 @@
         call = effect.call
         if not isinstance(call, platform.Put) or call.lease:
             return
+        if not self.store_reachable:
+            return
         gateway.store_calls = [
             each for each in gateway.store_calls if each.op_id != effect.op_id
         ]
         written = platform.Written(call.key, gateway.revision + 1)
         gateway.reduce(core_events.PlatformAnswered(effect.op_id, written))
-        self._stored[call.key] = call.value
+        self.stored[call.key] = call.value
         for other in self.gateways:
             other.revision += 1
             found = platform.Found(call.key, call.value, other.revision)
--- a/packages/ragwortgw-gateway/tests/harness.py
+++ b/packages/ragwortgw-gateway/tests/harness.py
@@ -321,8 +321,6 @@
         return self.receive_message(digest)
 
     def receive_message(self, message):
-        """Delivers a digest or a note after encoding and decoding it."""
+        """Delivers a message of a peer after encoding and decoding it."""
         decoded = digests.decode(digests.encode(message))
-        if isinstance(decoded, digests.Note):
-            return self.reduce(events.NoteReceived(decoded))
-        return self.reduce(events.DigestReceived(decoded))
+        return self.reduce(events.received(decoded))
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
@@ -88,6 +88,12 @@
     process.peers.send(effect.addresses, effect.note)
 
 
+@applies(effects.SendCrashReport)
+def apply_crash_report(process: Any, effect: effects.SendCrashReport) -> None:
+    """Tells other gateways of crashes of backend servers."""
+    process.peers.send(effect.addresses, effect.report)
+
+
 @applies(effects.FetchBeliefs)
 def apply_fetch(process: Any, effect: effects.FetchBeliefs) -> None:
     """Asks another gateway for what it holds."""
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_peers.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_peers.py
@@ -43,8 +43,8 @@
     Args:
       client: HTTP client.
       beliefs: Returns what is held that is newer than a store revision.
-      on_event: Takes DigestReceived, NoteReceived, BeliefsOffered and
-        FetchEnded.
+      on_event: Takes DigestReceived, NoteReceived, CrashReportReceived,
+        BeliefsOffered and FetchEnded.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
     def send(
         self,
         addresses: tuple[str, ...],
-        message: digests.Digest | digests.Note,
+        message: digests.Message,
     ) -> None:
         """Sends a datagram; what is lost, the next digest tells again."""
         if self._transport is None:
@@ -164,9 +164,7 @@
 
     def _on_data(self, data: bytes) -> None:
         message = digests.decode(data)
-        if isinstance(message, digests.Digest):
-            self._on_event(events.DigestReceived(message))
-        elif message is not None:
-            self._on_event(events.NoteReceived(message))
-        else:
+        if message is None:
             LOG.warning('datagram of %d bytes says nothing', len(data))
+        else:
+            self._on_event(events.received(message))
