--- a/packages/ragwortgw-gateway/ragwortgw_gateway/announcements.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/announcements.py
@@ -1,8 +1,9 @@
 """Handles what backend servers announce about themselves in their answers.
 
-A server that is about to end says so in all its answers, and one that
-refuses requests may say for how long it wants none. It protects requests
-from servers that would cut them, and servers from requests that they refuse.
+A server that is about to end says so in all its answers, one that refuses
+requests may say for how long it wants none, and one in need how many it takes
+a second. It protects requests from servers that would cut them, and servers
+from requests that they refuse.
 """
 
 from typing import Any
@@ -31,6 +32,10 @@
             state.fleet.mark_leaving(event.process, stamp.now_ms),
             False,
         )
+    if state.rate_limits.announce(
+        event.process, event.limit_per_s, stamp.now_ms
+    ):
+        outputs += _record_limit(event.process, event.limit_per_s, False)
     if event.pause_ms:
         outputs += _pause(state, stamp, event.process, event.pause_ms)
     if event.malformed_pause:
@@ -65,6 +70,21 @@
     ]
 
 
+def _record_limit(
+    process: fleet.ServerProcess, per_s: float | None, relayed: bool
+) -> list[Any]:
+    """Logs the limit of a server that is in force from now on."""
+    fields = {
+        **process._asdict(),
+        'limit_per_s': per_s,
+        'second_hand': relayed,
+    }
+    return [
+        core_effects.Record('server-limit', fields),
+        core_effects.Count('gateway_server_limits', ()),
+    ]
+
+
 def describe_leaving(state: State, now_ms: int) -> tuple[digests.Leaving, ...]:
     """Returns the servers that are known to be leaving, for a digest."""
     return tuple(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -300,6 +300,7 @@
                 'model': attempt.model,
                 'urgency': active.urgency,
                 'keeps_share': active.keeps_share,
+                'limit_per_s': state.rate_limits.limit_per_s(server),
                 'expected_ms': round(forecast.first_byte_ms),
                 'expected_end_ms': round(forecast.end_ms),
                 'unread_tokens': server_choice.uncached_tokens,
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -87,12 +87,15 @@
       leaving: Whether it is about to end.
       pause_ms: Time for which it wants no requests, 0 for none.
       malformed_pause: What it sent instead of a time, '' if nothing.
+      limit_per_s: Requests a second that it takes from all gateways
+        together, None for no limit.
     """
 
     process: fleet.ServerProcess
     leaving: bool
     pause_ms: int
     malformed_pause: str
+    limit_per_s: float | None = None
 
 
 class ServersHeard(NamedTuple):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/fleet_changes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/fleet_changes.py
@@ -25,6 +25,7 @@
         state.latency.forget(server_id)
         state.outliers.forget(server_id)
         state.backoff.forget(server_id)
+        state.rate_limits.forget(server_id)
         state.last_seen_ms_by_server.pop(server_id, None)
         state.peers_seen_ms_by_server.pop(server_id, None)
         outputs.append(effects.DropServer(server_id))
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -24,6 +24,7 @@
 from ragwortgw_gateway import prefixes
 from ragwortgw_gateway import quarantine
 from ragwortgw_gateway import queue_waits
+from ragwortgw_gateway import rate_limits
 from ragwortgw_gateway import refusal_history
 from ragwortgw_gateway import report_schedule
 from ragwortgw_gateway import requests
@@ -294,6 +295,7 @@
         self.latency = latency_estimates.LatencyEstimator()
         self.outliers = outlier_ejection.OutlierDetector()
         self.backoff = server_backoff.BackoffTracker()
+        self.rate_limits = rate_limits.RateLimits()
         self.crashes = crashes.CrashTracker()
         self.crash_evidence = crash_evidence.CrashEvidence(self.heard_since)
         self.crash_reports = report_schedule.ReportSchedule(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gauges.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gauges.py
@@ -147,6 +147,14 @@
         seen_ms = state.last_seen_ms_by_server.get(server.id)
         age_ms = -1.0 if seen_ms is None else float(now_ms - seen_ms)
         yield Gauge('gateway_server_heard_age_ms', labels, age_ms)
+    for server in servers:
+        limit_per_s = state.rate_limits.limit_per_s(server)
+        if limit_per_s is not None:
+            yield Gauge(
+                'gateway_server_limit_per_s',
+                (('server', server.id),),
+                limit_per_s,
+            )
     for server in servers:
         running = float(state.loads.outstanding(server.id).running)
         yield Gauge(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/requests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/requests.py
@@ -148,6 +148,8 @@
       leaving: Whether the server announces that it is about to end.
       pause_ms: Time for which the server wants no requests, 0 for none.
       malformed_pause: What the server sent instead of a time, '' if nothing.
+      limit_per_s: Requests a second that the server takes from all gateways
+        together, None for no limit.
     """
 
     status: int
@@ -161,6 +163,7 @@
     leaving: bool = False
     pause_ms: int = 0
     malformed_pause: str = ''
+    limit_per_s: float | None = None
 
 
 class Answer(NamedTuple):
--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -31,6 +31,8 @@
 #: Answers of plain services are passed on whole; larger ones are refused.
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
+#: Servers whose limits are remembered, until an answer comes without one.
+MAX_LIMITED = 1_024
 
 #: The reducer ends requests at their deadline; a connection that still
 #: waits this much later is closed by itself.
@@ -90,6 +92,8 @@
         self._on_event = on_event
         self._calls_by_id: dict[str, _Call] = {}
         self.pool = backend_channels.ChannelPool(loop)
+        #: Limits by server, from the latest answers that named one.
+        self._limited: dict[fleet.ServerProcess, float] = {}
         self.heard: set[str] = set()
         self.advanced: collections.Counter[str] = collections.Counter()
 
@@ -269,17 +273,38 @@
         """
         if head.other_server:
             return
-        if not (head.leaving or head.pause_ms or head.malformed_pause):
-            return
         process = fleet.ServerProcess(
             call.dispatch.server_id, call.dispatch.server_started_ms
         )
+        concerns_limit = self._concerns_limit(process, head.limit_per_s)
+        if not (
+            head.leaving
+            or head.pause_ms
+            or head.malformed_pause
+            or concerns_limit
+        ):
+            return
         self._on_event(
             events.ServerAnnounced(
-                process, head.leaving, head.pause_ms, head.malformed_pause
+                process,
+                head.leaving,
+                head.pause_ms,
+                head.malformed_pause,
+                head.limit_per_s,
             )
         )
 
+    def _concerns_limit(
+        self, process: fleet.ServerProcess, limit_per_s: float | None
+    ) -> bool:
+        """Returns whether an answer names a limit, or ends one."""
+        if limit_per_s is None:
+            return self._limited.pop(process, None) is not None
+        self._limited[process] = limit_per_s
+        if len(self._limited) > MAX_LIMITED:
+            del self._limited[next(iter(self._limited))]
+        return True
+
     def _http_call(self, call: _Call) -> http_channel.Call:
         request = call.request
         dispatch = call.dispatch
--- a/packages/ragwortgw-server/tests/test_backend_calls.py
+++ b/packages/ragwortgw-server/tests/test_backend_calls.py
@@ -185,6 +185,18 @@
         refused = await self.answer(request_id='')
         self.assertEqual(events.AttemptRefused('r.1', False), refused)
 
+    async def test_limit_is_announced_until_an_answer_names_none(self):
+        limits = []
+        for limit_per_s in (1.3, 1.3, None, None):
+            self.events.clear()
+            await self.answer(limit_per_s=limit_per_s)
+            limits += [
+                each.limit_per_s
+                for each in self.events
+                if isinstance(each, events.ServerAnnounced)
+            ]
+        self.assertEqual([1.3, 1.3, None], limits)
+
     async def test_another_server_announces_nothing_of_the_expected_one(self):
         first = await self.answer(leaving=True, other_server=True)
         self.assertIsInstance(first, events.AttemptRefused)
