--- a/packages/ragwortgw-gateway/tests/crash_fleet.py
+++ b/packages/ragwortgw-gateway/tests/fleet_driver.py
@@ -1,4 +1,4 @@
-"""Several gateways and backend servers that crash; all in simulated time."""
+"""Several gateways and backend servers, all in simulated time."""
 
 from typing import NamedTuple
 
@@ -7,6 +7,7 @@
 from ragwortgw_core import platform
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import events
+from ragwortgw_gateway import fleet
 from ragwortgw_gateway import requests
 from tests import harness
 
@@ -50,12 +51,14 @@
         return taken
 
 
-class CrashFleet:
-    """Gateways, and servers that a bad block crashes.
+class FleetDriver:
+    """Gateways, and servers that crash or name limits.
 
     Attributes:
       gateways: The gateways.
       now_ms: The time.
+      limits_by_server: Limits that servers name in their answers.
+      arrivals: (time, server) of each request that reached a server.
       crashed: (time, server) of each crash under the bad block.
       bad_sent: Times at which requests with the bad block reached a server.
       refused: Ids of the requests that were refused.
@@ -68,6 +71,8 @@
         self.gateways = []
         self.now_ms = harness.START_MS
         self.servers = [f's{n}' for n in range(server_count)]
+        self.limits_by_server = {}
+        self.arrivals = []
         self.crashed = []
         self.bad_sent = []
         self.refused = []
@@ -115,13 +120,16 @@
         """Returns the time with a fixed random number."""
         return core_events.Stamp(self.now_ms, 0)
 
-    def send(self, gateway, blocks, crashes=False, **changes):
+    def send(
+        self, gateway, blocks, crashes=False, route_id='draft', **changes
+    ):
         """Has a caller send a request to a gateway.
 
         Args:
           gateway: The gateway.
           blocks: Ids of the blocks that other requests may share.
           crashes: Whether it crashes servers whatever its blocks.
+          route_id: Its route; the blocks are ignored if it has no prompt.
           changes: Other fields of the request.
         Returns: Its id.
         """
@@ -133,7 +141,9 @@
         gateway.now_ms = self.now_ms
         if crashes or BAD_BLOCK in blocks:
             self._bad_ids.add(request_id)
-        gateway.arrive(request_id, 'draft', prompt=prompt, **changes)
+        if route_id != 'draft':
+            prompt = None
+        gateway.arrive(request_id, route_id, prompt=prompt, **changes)
         self._follow(gateway)
         return request_id
 
@@ -201,7 +211,12 @@
                 self.crash(server_id)
             elif age_ms == BEGIN_MS:
                 gateway.reduce(events.ServersHeard((server_id,)))
-                gateway.receive_answer_head(execution.dispatch, confidence=100)
+                self._announce(gateway, server_id)
+                gateway.receive_answer_head(
+                    execution.dispatch,
+                    confidence=100,
+                    streaming=execution.dispatch.streaming,
+                )
             elif age_ms >= END_MS:
                 gateway.reduce(events.ServersHeard((server_id,)))
                 gateway.finish_attempt(execution.dispatch)
@@ -209,6 +224,13 @@
                 self.answered.append(execution.dispatch.request_id)
             self._follow(gateway)
 
+    def _announce(self, gateway, server_id):
+        limit_per_s = self.limits_by_server.get(server_id)
+        process = fleet.ServerProcess(server_id, 1)
+        gateway.reduce(
+            events.ServerAnnounced(process, False, 0, '', limit_per_s)
+        )
+
     def _follow(self, gateway):
         """Carries out the effects of a gateway's events."""
         while gateway.recorded:
@@ -237,6 +259,7 @@
         if dispatch.server_id not in self.servers:
             gateway.break_attempt(dispatch, 'refused', 'no')
             return
+        self.arrivals.append((self.now_ms, dispatch.server_id))
         if bad:
             self.bad_sent.append(self.now_ms)
         self._executions.append(Execution(gateway, dispatch, self.now_ms, bad))
--- a/packages/ragwortgw-gateway/tests/test_quarantine.py
+++ b/packages/ragwortgw-gateway/tests/test_quarantine.py
@@ -9,9 +9,9 @@
 from ragwortgw_gateway import quarantine
 from ragwortgw_gateway import report_schedule
 from ragwortgw_gateway import requests
-from tests import crash_fleet
+from tests import fleet_driver
 
-BAD = crash_fleet.BAD_BLOCK
+BAD = fleet_driver.BAD_BLOCK
 #: Time in which gateways that can reach each other agree.
 CONTACT_MS = 3_000
 #: Crashes after which a block counts as known to crash servers.
@@ -54,12 +54,12 @@
         return sum(sent_ms > known_ms for sent_ms in crashing.bad_sent)
 
     def test_different_requests_with_one_bad_block_stop_crashing_servers(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         Traffic(crashing).run(30_000)
         self.assertLessEqual(self.sent_late(crashing), MAX_SENT)
 
     def test_gateways_agree_on_the_block_without_the_store(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         crashing.store_reachable = False
         Traffic(crashing).run(30_000)
         self.assertLessEqual(self.sent_late(crashing), MAX_SENT)
@@ -67,7 +67,7 @@
             self.assertEqual({BAD}, gateway.state.quarantine.blocks)
 
     def test_sound_requests_with_the_other_blocks_are_served(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         traffic = Traffic(crashing)
         traffic.run(10_000)
         traffic.sound_ids.clear()
@@ -78,7 +78,7 @@
         )
 
     def test_requests_in_progress_are_withdrawn_before_they_begin(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         gateway = crashing.gateways[0]
         request_id = crashing.send(gateway, ['tenant', BAD])
         gateway.state.quarantine.add('other', crashing.stamp())
@@ -91,7 +91,7 @@
         self.assertEqual([], crashing.crashed)
 
     def test_gateway_that_restarts_knows_the_block_from_the_store(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         Traffic(crashing).run(10_000)
         for gateway in list(crashing.gateways):
             crashing.restart(gateway)
@@ -101,7 +101,7 @@
         self.assertEqual(sent, len(crashing.bad_sent))
 
     def test_gateway_that_restarts_without_the_store_asks_its_peers(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         Traffic(crashing).run(10_000)
         crashing.forget_stored()
         restarted = crashing.restart(crashing.gateways[0])
@@ -109,7 +109,7 @@
         self.assertEqual({BAD}, restarted.state.quarantine.blocks)
 
     def test_values_that_a_restored_store_lost_are_written_again(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         Traffic(crashing).run(10_000)
         crashing.forget_stored()
         gateway = crashing.gateways[0]
@@ -118,7 +118,7 @@
         self.assertEqual(1, len(crashing.stored))
 
     def test_block_is_released_when_its_value_is_deleted(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         Traffic(crashing).run(10_000)
         (key,) = crashing.stored
         for gateway in crashing.gateways:
@@ -128,7 +128,7 @@
             self.assertFalse(gateway.state.quarantine.blocks)
 
     def test_gauge_counts_the_blocks(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         Traffic(crashing).run(10_000)
         state = crashing.gateways[0].state
         value_by_metric = {
@@ -138,7 +138,7 @@
         self.assertEqual(1, value_by_metric['gateway_blocks_in_quarantine'])
 
     def test_block_is_released_in_time_and_deleted(self):
-        crashing = crash_fleet.CrashFleet()
+        crashing = fleet_driver.FleetDriver()
         Traffic(crashing).run(10_000)
         (key,) = crashing.stored
         gateway = crashing.gateways[0]
@@ -153,7 +153,7 @@
     """Other faults of servers put no block in quarantine."""
 
     def setUp(self):
-        self.fleet = crash_fleet.CrashFleet()
+        self.fleet = fleet_driver.FleetDriver()
         self.traffic = Traffic(self.fleet)
 
     def check_nothing_quarantined(self):
@@ -165,7 +165,7 @@
         for gateway in self.fleet.gateways:
             for _ in range(8):
                 self.fleet.send(gateway, ['tenant-0', 'brief-0'])
-        self.fleet.run(crash_fleet.STEP_MS)
+        self.fleet.run(fleet_driver.STEP_MS)
         self.fleet.crash(*self.fleet.servers[:5])
         self.fleet.run(2_000)
         self.check_nothing_quarantined()
@@ -174,7 +174,7 @@
         for _ in range(6):
             self.traffic.run(1_200, bad=False)
             self.fleet.send(self.fleet.gateways[0], ['tenant-0', 'brief-0'])
-            self.fleet.run(crash_fleet.STEP_MS)
+            self.fleet.run(fleet_driver.STEP_MS)
             self.fleet.crash(self.fleet.servers[0])
         self.fleet.run(3_000)
         self.check_nothing_quarantined()
@@ -183,7 +183,7 @@
         rare = ['tenant-0', 'rare']
         for _ in range(4):
             self.fleet.send(self.fleet.gateways[0], rare)
-            self.fleet.run(crash_fleet.STEP_MS)
+            self.fleet.run(fleet_driver.STEP_MS)
             for server_id in list(self.fleet.servers):
                 self.fleet.reset_connections(server_id)
             for gateway in self.fleet.gateways:
--- a/packages/ragwortgw-gateway/tests/test_rate_limits.py
+++ b/packages/ragwortgw-gateway/tests/test_rate_limits.py
@@ -5,6 +5,7 @@
 from ragwortgw_gateway import events
 from ragwortgw_gateway import fleet
 from ragwortgw_gateway import gauges
+from tests import fleet_driver
 from tests import harness
 
 
@@ -48,3 +49,56 @@
             'servers/s1', harness.make_server('s1', started_ms=2)
         )
         self.assertIsNone(self.limit())
+
+
+class LimitTest(unittest.TestCase):
+    """All gateways together keep to the limit of a server."""
+
+    LIMIT_PER_S = 1.3
+    WINDOW_MS = 4_000
+    #: Time in which gateways that can reach each other agree.
+    CONTACT_MS = 3_000
+
+    def setUp(self):
+        self.fleet = fleet_driver.FleetDriver(gateway_count=4, server_count=3)
+        self.fleet.limits_by_server['s0'] = self.LIMIT_PER_S
+        self.began_ms = self.fleet.now_ms
+
+    def most_in_a_window(self, server_id='s0'):
+        """Returns the most requests that reached a server in a window."""
+        times_ms = [
+            at_ms
+            for at_ms, reached in self.fleet.arrivals
+            if reached == server_id and at_ms > self.began_ms + self.CONTACT_MS
+        ]
+        return max(
+            sum(0 <= at_ms - first_ms < self.WINDOW_MS for at_ms in times_ms)
+            for first_ms in times_ms
+        )
+
+    def send(self, duration_ms, interval_ms, route_id):
+        """Sends requests to all gateways in turn.
+
+        Returns: Their ids.
+        """
+        until_ms = self.fleet.now_ms + duration_ms
+        request_ids = []
+        while self.fleet.now_ms < until_ms:
+            for gateway in self.fleet.gateways:
+                request_ids.append(
+                    self.fleet.send(gateway, ['tenant'], route_id=route_id)
+                )
+            self.fleet.run(interval_ms)
+        return request_ids
+
+    def check_limit(self):
+        allowed = 1.5 * self.LIMIT_PER_S * self.WINDOW_MS / 1_000 + 5
+        self.assertLessEqual(self.most_in_a_window(), allowed)
+
+    def test_server_gets_no_more_prompts_than_its_limit(self):
+        self.send(16_000, 200, 'draft')
+        self.check_limit()
+
+    def test_server_gets_no_more_plain_requests_than_its_limit(self):
+        self.send(16_000, 200, 'status')
+        self.check_limit()
