--- a/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_simulation.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_simulation.py
@@ -359,7 +359,9 @@
             self._tell_peers(effect.addresses, effect.digest)
         elif isinstance(effect, effects.SendNote):
             self._tell_peers(effect.addresses, effect.note)
-        elif isinstance(effect, effects.SendCrashReport):
+        elif isinstance(
+            effect, effects.SendCrashReport | effects.SendLimitReport
+        ):
             self._tell_peers(effect.addresses, effect.report)
         elif isinstance(effect, core_effects.CallPlatform):
             self._call_store(number, effect)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/announcements.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/announcements.py
@@ -35,6 +35,7 @@
     if state.rate_limits.announce(
         event.process, event.limit_per_s, stamp.now_ms
     ):
+        state.limit_reports.add_news(stamp.now_ms)
         outputs += _record_limit(event.process, event.limit_per_s, False)
     if event.pause_ms:
         outputs += _pause(state, stamp, event.process, event.pause_ms)
@@ -85,6 +86,32 @@
     ]
 
 
+@REDUCER.handles(events.LimitReportReceived)
+def on_limit_report(
+    state: State, stamp: core_events.Stamp, event: events.LimitReportReceived
+) -> list[Any]:
+    outputs: list[Any] = []
+    for server_id, started_ms, per_s, age_ms in event.report.limits:
+        process = fleet.ServerProcess(server_id, started_ms)
+        server = state.fleet.servers_by_id.get(server_id)
+        if server is None or server.started_ms != started_ms:
+            continue
+        at_ms = stamp.now_ms - max(0, age_ms)
+        if state.rate_limits.announce(process, per_s, at_ms, True):
+            outputs += _record_limit(process, per_s, True)
+    return outputs
+
+
+def report_limits(state: State, stamp: core_events.Stamp) -> list[Any]:
+    """Tells the peers of limits when a report is due."""
+    if not state.limit_reports.take_due(stamp.now_ms):
+        return []
+    report = digests.LimitReport(
+        state.host_id, state.rate_limits.describe(stamp.now_ms)
+    )
+    return [effects.SendLimitReport(state.live_addresses, report)]
+
+
 def describe_leaving(state: State, now_ms: int) -> tuple[digests.Leaving, ...]:
     """Returns the servers that are known to be leaving, for a digest."""
     return tuple(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/crash_containment.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/crash_containment.py
@@ -183,11 +183,6 @@
     """Sends peers a report when one is due."""
     if not state.crash_reports.take_due(stamp.now_ms):
         return []
-    addresses = tuple(
-        peer.digest.address for peer in state.peers_by_id.values()
-    )
-    if not addresses:
-        return []
     report = digests.CrashReport(
         state.host_id,
         state.crash_evidence.local_crashes(stamp.now_ms, REPORTED_AGE_MS),
@@ -196,4 +191,4 @@
         ),
         state.quarantine.describe(stamp.now_ms),
     )
-    return [effects.SendCrashReport(addresses, report)]
+    return [effects.SendCrashReport(state.live_addresses, report)]
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -3,7 +3,8 @@
 A digest is a summary of one gateway's state, sent several times a second. A
 note reports an attempt that was just sent to a backend server: without it,
 peers would take that server for idle until the next digest, and all send
-there. A crash report is sent when a backend server has crashed.
+there. A crash report is sent when a backend server has crashed, a limit
+report when one has named a limit.
 """
 
 from typing import NamedTuple
@@ -204,6 +205,29 @@
     quarantined: tuple[QuarantinedBlock, ...]
 
 
+class ServerLimit(NamedTuple):
+    """What a backend server said of its limit.
+
+    Args:
+      server: Id of the server.
+      started_ms: When its process started, by its own clock.
+      per_s: Requests a second from all gateways, None for no limit.
+      age_ms: Time since it said so.
+    """
+
+    server: str
+    started_ms: int
+    per_s: float | None
+    age_ms: int
+
+
+class LimitReport(NamedTuple):
+    """What backend servers said of their limits to one gateway."""
+
+    sender: str
+    limits: tuple[ServerLimit, ...]
+
+
 class Digest(NamedTuple):
     """Summary of one gateway's state.
 
@@ -247,10 +271,11 @@
     Digest: b'd',
     Note: b'n',
     CrashReport: b'c',
+    LimitReport: b'l',
 }
 TYPES_BY_TAG = {tag: type_ for type_, tag in TAGS_BY_TYPE.items()}
 
-Message = Digest | Note | CrashReport
+Message = Digest | Note | CrashReport | LimitReport
 
 
 def encode(message: Message) -> bytes:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -255,9 +255,16 @@
     server = server_choice.server
     notes: list[Any] = []
     tokens = 0
+    limit_per_s = state.rate_limits.limit_per_s(server)
     if request.prompt is not None and attempt.model:
         tokens = request.prompt.tokens + request.prompt.output_tokens
         notes = _record_prefill(state, stamp, active, attempt, tokens)
+    elif limit_per_s is not None:
+        plain = digests.Prefill(server.id, '', (), 0)
+        alone_ms = round(server_choice.forecast.alone_ms)
+        one = digests.ServerLoad(1, 0, alone_ms, 0)
+        notes = gossip.broadcast_note(state, plain, one)
+    state.rate_limits.record_sent(server, stamp.now_ms)
     load = state.loads.remaining(server.id, stamp.now_ms)
     forecast = server_choice.forecast
     state.loads.add_attempt(
@@ -300,7 +307,7 @@
                 'model': attempt.model,
                 'urgency': active.urgency,
                 'keeps_share': active.keeps_share,
-                'limit_per_s': state.rate_limits.limit_per_s(server),
+                'limit_per_s': limit_per_s,
                 'expected_ms': round(forecast.first_byte_ms),
                 'expected_end_ms': round(forecast.end_ms),
                 'unread_tokens': server_choice.uncached_tokens,
@@ -403,8 +410,9 @@
 
     A request without any attempt is refused at once. One that is already
     streaming, or whose attempts failed, is dispatched again after a short
-    wait, with no server excluded. While all servers pause, one that no
-    server may have run is refused, with the end of the first pause.
+    wait, with no server excluded. While all servers pause, or have used up
+    their limits, one that no server may have run is refused, with the time
+    at which the first server takes requests.
 
     Args:
       state: The gateway.
@@ -439,5 +447,5 @@
 ) -> int:
     """Returns the time until a server wants requests, 0 if one does now."""
     _, servers = selection.choose_version(state, stamp, active)
-    until_ms = state.backoff.first_end_ms(servers, stamp.now_ms)
+    until_ms = state.server_selector.first_open_ms(servers, stamp.now_ms)
     return max(0, until_ms - stamp.now_ms)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
@@ -96,6 +96,13 @@
     report: digests.CrashReport
 
 
+class SendLimitReport(NamedTuple):
+    """Sends a report on limits of servers to peers, 'ip:port' each."""
+
+    addresses: tuple[str, ...]
+    report: digests.LimitReport
+
+
 class FetchBeliefs(NamedTuple):
     """Asks a peer, 'ip:port', for what is newer than a store revision."""
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -135,11 +135,18 @@
     report: digests.CrashReport
 
 
+class LimitReportReceived(NamedTuple):
+    """A peer sent a report on limits of backend servers."""
+
+    report: digests.LimitReport
+
+
 #: Events by the type of the message that a peer sent.
 EVENTS_BY_MESSAGE: dict[type, Callable[[Any], Any]] = {
     digests.Digest: DigestReceived,
     digests.Note: NoteReceived,
     digests.CrashReport: CrashReportReceived,
+    digests.LimitReport: LimitReportReceived,
 }
 
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -223,6 +223,7 @@
     outputs += store_changes.on_tick(state, stamp)
     outputs += _admit_held(state, stamp)
     outputs += crash_containment.on_tick(state, stamp)
+    outputs += announcements.report_limits(state, stamp)
     outputs += timeouts.on_tick(state, stamp)
     outputs += _update_rollouts(state, stamp)
     outputs += gossip.send_digests(state, stamp)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -46,6 +46,9 @@
 CRASH_REPORT_INTERVAL_MS = 250
 #: Time after which a report is sent once more, since datagrams get lost.
 CRASH_REPORT_REPEAT_MS = 1_000
+#: The same times of reports on limits of servers.
+LIMIT_REPORT_INTERVAL_MS = 100
+LIMIT_REPORT_REPEAT_MS = 1_000
 #: Range of the priorities that backend servers accept, most urgent first.
 FIRST_URGENCY = 0
 LAST_URGENCY = 9
@@ -303,6 +306,9 @@
             CRASH_REPORT_INTERVAL_MS,
             CRASH_REPORT_REPEAT_MS,
         )
+        self.limit_reports = report_schedule.ReportSchedule(
+            0, LIMIT_REPORT_INTERVAL_MS, LIMIT_REPORT_REPEAT_MS
+        )
         self.quarantine = quarantine.BlockQuarantine(
             self.platform_calls, formats
         )
@@ -317,6 +323,7 @@
             self.latency,
             self.outliers,
             self.backoff,
+            self.rate_limits,
         )
         self.budget = retry_budget.RetryBudget(
             options.retry_ratio, options.retry_slack, options.retry_window_ms
@@ -387,6 +394,11 @@
         """Number of live gateways, including this one."""
         return 1 + max(len(self.peers_by_id), len(self.peer_addresses_by_id))
 
+    @property
+    def live_addresses(self) -> tuple[str, ...]:
+        """Addresses of the peers that are alive."""
+        return tuple(peer.digest.address for peer in self.peers_by_id.values())
+
     @property
     def ready(self) -> bool:
         """Whether the gateway accepts new callers."""
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gossip.py
@@ -89,9 +89,11 @@
     ):
         if previous.digest.sequence >= digest.sequence:
             return []
-    elif state.quarantine.blocks:
-        # One that has just started may have no store to read them from.
-        state.crash_reports.add_news(stamp.now_ms)
+    else:
+        # It may have just started, and have no store to read blocks from.
+        if state.quarantine.blocks:
+            state.crash_reports.add_news(stamp.now_ms)
+        state.limit_reports.add_news(stamp.now_ms)
     state.peers_by_id[digest.sender] = gateway_state.Peer(digest, stamp.now_ms)
     state.peer_addresses_by_id[digest.sender] = digest.address
     state.loads.merge_remote(
@@ -121,15 +123,22 @@
     server = state.fleet.servers_by_id.get(note.prefill.server)
     if peer is None or server is None:
         return []
+    state.rate_limits.record_sent(server, stamp.now_ms, _note_weight(state))
     state.demand.add_remote(server.service, note.load.pending_ms, stamp.now_ms)
     if note.sequence >= peer.digest.sequence:
         state.loads.add_remote(note.sender, server.id, note.load, stamp.now_ms)
-    state.prefixes.record_prefill(
-        note.prefill, state.cache_tokens(server.service), stamp.now_ms
-    )
+    if note.prefill.model:
+        state.prefixes.record_prefill(
+            note.prefill, state.cache_tokens(server.service), stamp.now_ms
+        )
     return []
 
 
+def _note_weight(state: State) -> float:
+    """Returns how many attempts of peers one note stands for."""
+    return max(1.0, len(state.peers_by_id) / NOTE_FANOUT)
+
+
 def broadcast_note(
     state: State, prefill: digests.Prefill, load: digests.ServerLoad
 ) -> list[Any]:
@@ -137,8 +146,8 @@
 
     Args:
       state: The gateway.
-      prefill: The prompt; its last block, which no other request shares, is
-        left out of the note.
+      prefill: The prompt, without model and blocks if there is none; its
+        last block, which no other request shares, is left out of the note.
       load: What the attempt adds to the server's load.
     Returns: Effects.
     """
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
@@ -19,6 +19,7 @@
 from ragwortgw_gateway import loads
 from ragwortgw_gateway import outlier_ejection
 from ragwortgw_gateway import prefixes
+from ragwortgw_gateway import rate_limits
 from ragwortgw_gateway import requests
 from ragwortgw_gateway import server_backoff
 
@@ -123,6 +124,7 @@
       latency: Latency estimates.
       outliers: Suspended servers and failure rates.
       backoff: Servers that asked for a pause.
+      limits: Limits that servers announced.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         latency: latency_estimates.LatencyEstimator,
         outliers: outlier_ejection.OutlierDetector,
         backoff: server_backoff.BackoffTracker,
+        limits: rate_limits.RateLimits,
     ) -> None:
         self._zone = zone
         self._loads = load_tracker
@@ -140,6 +143,7 @@
         self._latency = latency
         self._outliers = outliers
         self._backoff = backoff
+        self._limits = limits
 
     def choose(
         self,
@@ -166,15 +170,15 @@
           seed: Random number that decides between equal scores.
           last_resort: Ids of servers that are chosen only if no other
             server is left.
-        Returns: The choice, None if all servers are excluded, suspended or
-          paused.
+        Returns: The choice, None if all servers are excluded, suspended,
+          paused or at their limits.
         """
         eligible = [
             server
             for server in servers
             if server.id not in excluded_servers
             and not self._outliers.suspended(server.id, now_ms)
-            and not self._backoff.paused(server, now_ms)
+            and not self._open_ms(server, now_ms)
         ]
         if last_resort:
             preferred = [
@@ -187,6 +191,26 @@
             )
         return self._choose_for_plain(eligible, now_ms, seed)
 
+    def first_open_ms(
+        self, servers: Sequence[documents.BackendServer], now_ms: int
+    ) -> int:
+        """Returns when the first of some servers takes requests again.
+
+        Returns: The time; 0 if there are no servers, or one neither is
+          paused nor has used up its limit.
+        """
+        return min(
+            (self._open_ms(server, now_ms) for server in servers), default=0
+        )
+
+    def _open_ms(self, server: documents.BackendServer, now_ms: int) -> int:
+        """Returns when a server takes requests again, 0 if it does now."""
+        until_ms = max(
+            self._backoff.until_ms(server),
+            self._limits.next_ms(server, now_ms),
+        )
+        return until_ms if until_ms > now_ms else 0
+
     def _choose_for_prompt(
         self,
         prompt: requests.Prompt,
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/server_backoff.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/server_backoff.py
@@ -6,8 +6,6 @@
 gateway for itself, so that peers are not told.
 """
 
-from collections.abc import Iterable
-
 from ragwortgw_gateway import documents
 
 #: Longest pause that is granted, whatever the server asks for.
@@ -66,17 +64,6 @@
         started_ms, until_ms = self._pauses_by_server.get(server.id, (0, 0))
         return until_ms if started_ms == server.started_ms else 0
 
-    def first_end_ms(
-        self, servers: Iterable[documents.BackendServer], now_ms: int
-    ) -> int:
-        """Returns when the first of some servers takes requests again.
-
-        Returns: The time; 0 if there are no servers, or one is not paused.
-        """
-        ends_ms = [self.until_ms(server) for server in servers]
-        first_ms = min(ends_ms, default=0)
-        return first_ms if first_ms > now_ms else 0
-
     def forget(self, server_id: str) -> None:
         """Removes a server that is gone or was restarted."""
         self._pauses_by_server.pop(server_id, None)
--- a/packages/ragwortgw-gateway/tests/fleet_driver.py
+++ b/packages/ragwortgw-gateway/tests/fleet_driver.py
@@ -31,10 +31,16 @@
 
 
 class RecordingGateway(harness.GatewayDriver):
-    """Keeps the sends, messages and other effects of all events."""
+    """Keeps the effects of all events, until they are carried out.
+
+    Attributes:
+      recorded: The effects.
+      last_failure: The latest refusal.
+    """
 
     def __init__(self, host_id):
         self.recorded = []
+        self.last_failure = None
         super().__init__(host_id)
 
     def reduce(self, event):
@@ -42,13 +48,9 @@
         self.recorded += result
         return result
 
-    def take(self, kind):
-        """Returns the recorded effects of one type, and forgets them."""
-        taken = [each for each in self.recorded if isinstance(each, kind)]
-        self.recorded = [
-            each for each in self.recorded if not isinstance(each, kind)
-        ]
-        return taken
+    def refusal_retry_ms(self):
+        """Returns the Retry-After of the latest refusal."""
+        return self.last_failure.retry_after_ms
 
 
 class FleetDriver:
@@ -211,7 +213,7 @@
                 self.crash(server_id)
             elif age_ms == BEGIN_MS:
                 gateway.reduce(events.ServersHeard((server_id,)))
-                self._announce(gateway, server_id)
+                self.announce(gateway, server_id)
                 gateway.receive_answer_head(
                     execution.dispatch,
                     confidence=100,
@@ -224,7 +226,9 @@
                 self.answered.append(execution.dispatch.request_id)
             self._follow(gateway)
 
-    def _announce(self, gateway, server_id):
+    def announce(self, gateway, server_id):
+        """Has a server say its limit to a gateway."""
+        gateway.now_ms = self.now_ms
         limit_per_s = self.limits_by_server.get(server_id)
         process = fleet.ServerProcess(server_id, 1)
         gateway.reduce(
@@ -248,6 +252,7 @@
                 if each.dispatch.attempt_id != effect.attempt_id
             ]
         elif isinstance(effect, effects.Refuse):
+            gateway.last_failure = effect.failure
             self.refused.append(effect.request_id)
         elif isinstance(effect, core_effects.CallPlatform):
             self._write(gateway, effect)
--- a/packages/ragwortgw-gateway/tests/test_placement.py
+++ b/packages/ragwortgw-gateway/tests/test_placement.py
@@ -4,11 +4,13 @@
 
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import documents
+from ragwortgw_gateway import fleet
 from ragwortgw_gateway import latency_estimates
 from ragwortgw_gateway import loads
 from ragwortgw_gateway import outlier_ejection
 from ragwortgw_gateway import placement
 from ragwortgw_gateway import prefixes
+from ragwortgw_gateway import rate_limits
 from ragwortgw_gateway import requests
 from ragwortgw_gateway import server_backoff
 from tests import harness
@@ -32,6 +34,7 @@
         self.latency = latency_estimates.LatencyEstimator()
         self.outliers = outlier_ejection.OutlierDetector()
         self.backoff = server_backoff.BackoffTracker()
+        self.limits = rate_limits.RateLimits()
         self.server_selector = placement.ServerSelector(
             'zone-a',
             self.loads,
@@ -39,6 +42,7 @@
             self.latency,
             self.outliers,
             self.backoff,
+            self.limits,
         )
         self.servers = [harness.make_server(f's{n}') for n in range(4)]
 
@@ -235,3 +239,45 @@
             self.holder.id, 'proofs', 'refused', NOW_MS
         )
         self.assertEqual(0, self.choose(self.request).copied_tokens)
+
+
+class OpenServersTest(PlacementCase):
+    """Servers that are paused or at their limits get no requests."""
+
+    def first_open_ms(self, servers):
+        return self.server_selector.first_open_ms(servers, NOW_MS)
+
+    def use_up_limit(self, server, per_s):
+        """Has a server name a limit, and sends it one request."""
+        process = fleet.ServerProcess(server.id, server.started_ms)
+        self.limits.announce(process, per_s, NOW_MS)
+        self.limits.record_sent(server, NOW_MS)
+
+    def test_first_end_counts_only_if_all_servers_are_paused(self):
+        one, other = servers = self.servers[:2]
+        self.backoff.pause(one.id, one.started_ms, 2_000, NOW_MS, 0)
+        self.assertEqual(0, self.first_open_ms(servers))
+        self.backoff.pause(other.id, other.started_ms, 1_500, NOW_MS, 0)
+        self.assertEqual(NOW_MS + 1_500, self.first_open_ms(servers))
+        self.assertEqual(0, self.first_open_ms([]))
+
+    def test_used_up_limit_ends_when_the_rate_allows_a_request(self):
+        one, other = servers = self.servers[:2]
+        self.use_up_limit(one, 0.5)
+        self.assertEqual(0, self.first_open_ms(servers))
+        self.use_up_limit(other, 1.0)
+        expected_ms = NOW_MS + 1_000 - rate_limits.BURST_MS
+        self.assertEqual(expected_ms, self.first_open_ms(servers))
+
+    def test_paused_server_at_its_limit_waits_for_both(self):
+        server = self.servers[0]
+        self.use_up_limit(server, 0.5)
+        self.backoff.pause(server.id, server.started_ms, 4_000, NOW_MS, 0)
+        self.assertEqual(NOW_MS + 4_000, self.first_open_ms([server]))
+
+    def test_server_at_its_limit_is_not_chosen(self):
+        for server in self.servers[:3]:
+            self.use_up_limit(server, 1.0)
+        self.assertEqual('s3', self.choose().server.id)
+        self.use_up_limit(self.servers[3], 1.0)
+        self.assertIsNone(self.choose())
--- a/packages/ragwortgw-gateway/tests/test_rate_limits.py
+++ b/packages/ragwortgw-gateway/tests/test_rate_limits.py
@@ -102,3 +102,62 @@
     def test_server_gets_no_more_plain_requests_than_its_limit(self):
         self.send(16_000, 200, 'status')
         self.check_limit()
+
+    def test_server_gets_about_what_it_takes(self):
+        self.send(16_000, 200, 'draft')
+        reached = sum(
+            server_id == 's0' for _, server_id in self.fleet.arrivals
+        )
+        self.assertGreater(reached, 0.8 * 16 * self.LIMIT_PER_S)
+
+    def test_other_servers_get_what_the_limit_leaves(self):
+        request_ids = self.send(8_000, 400, 'status')
+        self.fleet.run(2_000)
+        self.assertEqual([], self.fleet.refused)
+        self.assertEqual(set(request_ids), set(self.fleet.answered))
+
+    def test_peers_keep_to_a_limit_that_one_gateway_was_told(self):
+        told, *others = self.fleet.gateways
+        server = harness.make_server('s0')
+        self.fleet.announce(told, 's0')
+        self.fleet.run(600)
+        for gateway in others:
+            limits = gateway.state.rate_limits
+            self.assertEqual(self.LIMIT_PER_S, limits.limit_per_s(server))
+
+    def test_gateway_that_starts_is_told_of_limits(self):
+        self.send(2_000, 200, 'draft')
+        started = self.fleet.add_gateway('edge-9')
+        self.fleet.run(1_000)
+        limits = started.state.rate_limits
+        server = harness.make_server('s0')
+        self.assertEqual(self.LIMIT_PER_S, limits.limit_per_s(server))
+
+    def test_limit_ends_everywhere_when_an_answer_names_none(self):
+        self.send(4_000, 200, 'draft')
+        del self.fleet.limits_by_server['s0']
+        self.send(4_000, 200, 'draft')
+        for gateway in self.fleet.gateways:
+            limits = gateway.state.rate_limits
+            self.assertIsNone(limits.limit_per_s(harness.make_server('s0')))
+
+    def test_server_that_takes_no_requests_is_asked_now_and_then(self):
+        self.fleet.limits_by_server['s0'] = 0.0
+        self.send(4_000, 200, 'draft')
+        del self.fleet.limits_by_server['s0']
+        self.fleet.arrivals.clear()
+        self.send(12_000, 200, 'draft')
+        reached = [each for each in self.fleet.arrivals if each[1] == 's0']
+        self.assertTrue(reached)
+
+    def test_request_is_refused_at_once_while_all_servers_are_at_limits(self):
+        for server_id in self.fleet.servers:
+            self.fleet.limits_by_server[server_id] = 1.0
+            self.fleet.announce(self.fleet.gateways[0], server_id)
+        gateway = self.fleet.gateways[0]
+        for _ in self.fleet.servers:
+            self.fleet.send(gateway, ['tenant'])
+        self.assertEqual([], self.fleet.refused)
+        request_id = self.fleet.send(gateway, ['tenant'])
+        self.assertEqual([request_id], self.fleet.refused)
+        self.assertLessEqual(gateway.refusal_retry_ms(), 1_000)
--- a/packages/ragwortgw-gateway/tests/test_server_backoff.py
+++ b/packages/ragwortgw-gateway/tests/test_server_backoff.py
@@ -54,14 +54,6 @@
         self.assertGreaterEqual(min(ends_ms), NOW_MS + 2_000)
         self.assertLess(max(ends_ms), NOW_MS + 2_500)
 
-    def test_first_end_counts_only_if_all_servers_are_paused(self):
-        servers = [self.server, self.other]
-        self.pause(2_000)
-        self.assertEqual(0, self.backoff.first_end_ms(servers, NOW_MS))
-        self.pause(1_500, server_id='s2')
-        self.assertEqual(2_500, self.backoff.first_end_ms(servers, NOW_MS))
-        self.assertEqual(0, self.backoff.first_end_ms([], NOW_MS))
-
     def test_server_that_is_gone_is_forgotten(self):
         self.pause(2_000)
         self.backoff.forget('s1')
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
@@ -94,6 +94,12 @@
     process.peers.send(effect.addresses, effect.report)
 
 
+@applies(effects.SendLimitReport)
+def apply_limit_report(process: Any, effect: effects.SendLimitReport) -> None:
+    """Tells other gateways of limits of backend servers."""
+    process.peers.send(effect.addresses, effect.report)
+
+
 @applies(effects.FetchBeliefs)
 def apply_fetch(process: Any, effect: effects.FetchBeliefs) -> None:
     """Asks another gateway for what it holds."""
