--- a/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
@@ -489,7 +489,7 @@
             stamp, service, track, peers, baseline_running, position
         )
         if due_phase is not None:
-            return self._write_step(stamp, service, track, due_phase)
+            return self._write_step(stamp, service, track, peers, due_phase)
         turn = 0 if track.wrote_step else position + 1
         turns_begin_ms, turn_ms = track.step_seen_ms, track.stand_in_ms
         if track.restored_ms > track.step_seen_ms:
@@ -497,7 +497,7 @@
         if stamp.now_ms < turns_begin_ms + turn * turn_ms:
             return []
         if track.step_lost:
-            return self._write_step(stamp, service, track, track.phase)
+            return self._write_step(stamp, service, track, peers, track.phase)
         phase = 'running' if not track.final else track.phase
         value = self._formats.write_rollout_status(track.order, phase)
         if track.status == value:
@@ -567,6 +567,7 @@
         stamp: events.Stamp,
         service: str,
         track: RolloutTrack,
+        peers: PeerEvidence,
         phase: Phase,
     ) -> list[Any]:
         elapsed_ms = track.elapsed_ms(stamp.now_ms)
@@ -579,7 +580,12 @@
             msgspec.json.encode(step),
             track.step_revision,
         )
-        fields = {'service': service, **step._asdict()}
+        pooled = self.pooled_evidence(service, track, peers)
+        fields = {
+            'service': service,
+            **pooled._asdict(),
+            **step._asdict(),
+        }
         return [
             core_effects.Record('rollout-step', fields),
             *self._call(stamp, ('step', service), write),
