--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -21,6 +21,7 @@
 from ragwortgw_gateway import gateway_state
 from ragwortgw_gateway import outlier_ejection
 from ragwortgw_gateway import selection
+from ragwortgw_gateway import version_timing
 
 REDUCER = gateway_state.REDUCER
 
@@ -342,35 +343,45 @@
 ) -> None:
     """Updates the latency estimates with the time to the first byte.
 
-    Attempts that copied blocks do not count for the model; all count for
-    the server and, in a roll-out, the version.
+    Attempts that copied blocks do not count for the model, nor do those at
+    the candidate of a roll-out, which may be slow; all count for the server
+    and, in a roll-out, the version.
     """
+    version_timing.record_begin(state, stamp, active, attempt)
     measured_ms = max(1, stamp.now_ms - attempt.sent_ms)
     completion.record_wait(state, stamp, active, attempt)
     server_choice = attempt.server_choice
-    if attempt.model and not server_choice.copied_tokens:
+    usual = not _on_trial(state, active, attempt)
+    if attempt.model and usual and not server_choice.copied_tokens:
         state.latency.observe_model(
             attempt.model,
             server_choice.uncached_tokens,
             measured_ms,
             server_choice.queued,
         )
-    if not attempt.model and not server_choice.queued:
+    if not attempt.model and usual and not server_choice.queued:
         state.latency.observe_plain(active.service, measured_ms)
     jitter_ms = 0.0
     if attempt.model:
         models = active.route.tiers or (attempt.model,)
         jitter_ms = state.latency.jitter_ms(models)
-    log_ratio = state.latency.observe_server(
+    state.latency.observe_server(
         attempt.server.id,
         server_choice.forecast.first_byte_ms,
         measured_ms,
         stamp.now_ms,
         jitter_ms,
     )
-    _record_version_evidence(
-        state, active, attempt, slowness=log_ratio, timed=1
-    )
+
+
+def _on_trial(
+    state: gateway_state.State,
+    active: gateway_state.ActiveRequest,
+    attempt: gateway_state.Attempt,
+) -> bool:
+    """Returns whether an attempt is at a version that may turn out bad."""
+    track = state.rollouts.tracks_by_service.get(active.service)
+    return bool(attempt.candidate and track is not None and not track.final)
 
 
 def record_version_outcome(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -62,11 +62,11 @@
       candidate_failures: Those that it answered with a failure.
       baseline_requests: Attempts that the other versions answered.
       baseline_failures: Those that they answered with a failure.
-      candidate_slowness: Sum of log(measured / expected time) over the
-        candidate's answers.
-      candidate_timed: Answers in that sum.
-      baseline_slowness: The same sum over the other versions' answers.
-      baseline_timed: Answers in that sum.
+      candidate_slow: Attempts at the candidate whose answers began late for
+        a server at the usual pace, or have not begun.
+      candidate_timed: Attempts of which that is known.
+      baseline_slow: The same of the other versions.
+      baseline_timed: Attempts of which that is known.
     """
 
     order: int
@@ -76,9 +76,9 @@
     candidate_failures: int = 0
     baseline_requests: int = 0
     baseline_failures: int = 0
-    candidate_slowness: float = 0.0
+    candidate_slow: float = 0.0
     candidate_timed: int = 0
-    baseline_slowness: float = 0.0
+    baseline_slow: float = 0.0
     baseline_timed: int = 0
 
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -30,6 +30,7 @@
 from ragwortgw_gateway import routes
 from ragwortgw_gateway import store_changes
 from ragwortgw_gateway import timeouts
+from ragwortgw_gateway import version_timing
 
 State = gateway_state.State
 Options = limits.Options
@@ -224,6 +225,7 @@
     outputs += _admit_held(state, stamp)
     outputs += crash_containment.on_tick(state, stamp)
     outputs += announcements.report_limits(state, stamp)
+    version_timing.on_tick(state, stamp)
     outputs += timeouts.on_tick(state, stamp)
     outputs += _update_rollouts(state, stamp)
     outputs += gossip.send_digests(state, stamp)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -73,6 +73,7 @@
       answered_ms: When the head of the answer arrived, 0 before.
       advanced_ms: When the latest events of the answer arrived.
       delivered: Whether events of its answer go to the caller.
+      timed: Whether it counts as slow or in time for a roll-out.
     """
 
     __slots__ = (
@@ -87,6 +88,7 @@
         'answered_ms',
         'advanced_ms',
         'delivered',
+        'timed',
     )
 
     def __init__(
@@ -108,6 +110,7 @@
         self.answered_ms = 0
         self.advanced_ms = 0
         self.delivered = False
+        self.timed = False
 
 
 class ActiveRequest:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/placement.py
@@ -69,6 +69,7 @@
       copy_from: 'ip:port' of a server from which it copies cached blocks
         first, '' for none.
       copied_tokens: Tokens in these blocks.
+      slowdown: Factor by which the server was slower than usual lately.
     """
 
     server: documents.BackendServer
@@ -77,6 +78,12 @@
     queued: bool
     copy_from: str = ''
     copied_tokens: int = 0
+    slowdown: float = 1.0
+
+    @property
+    def usual_first_byte_ms(self) -> float:
+        """Time to the first byte if the server had the usual pace."""
+        return self.forecast.first_byte_ms / self.slowdown
 
 
 class _Source(NamedTuple):
@@ -273,6 +280,7 @@
                     load.pending_ms > 0,
                     source.address if plan.copied_tokens else '',
                     plan.copied_tokens,
+                    slowdown,
                 )
         return best
 
@@ -301,7 +309,9 @@
                 forecast = batching.Forecast(
                     expected.prefill_ms, first_byte_ms
                 )
-                best = ServerChoice(server, forecast, 0, queued)
+                best = ServerChoice(
+                    server, forecast, 0, queued, slowdown=slowdown
+                )
         return best
 
     def _penalty_ms(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/version_evidence.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/version_evidence.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 import math
-from typing import Literal
+from typing import Literal, NamedTuple
 
 from ragwortgw_gateway import digests
 
@@ -15,16 +15,26 @@
 MIN_FAILURES = 3
 #: Failure rate that is tolerated beyond the baseline's.
 TOLERATED_FAILURE_RATE = 0.04
-#: Factor on the baseline's measured failure rate, which is not exact.
+#: Factor on the baseline's measured rates, which are not exact.
 BASELINE_MARGIN = 1.5
-#: Slowdown of the candidate relative to the baseline from which it is bad.
-MAX_SLOWDOWN_RATIO = 3.0
-#: Fewest timed answers of each version for that conclusion.
+#: Fewest slow answers of the candidate, and timed ones of the baseline, for
+#: the same conclusion from slow answers.
+MIN_SLOW = 4
 MIN_TIMED = 6
+#: Rate of slow answers that is tolerated beyond the baseline's: the
+#: candidate's servers have just started, and have nothing cached.
+TOLERATED_SLOW_RATE = 0.1
 #: Answers after which a candidate that is not bad counts as good.
 MIN_GOOD_ANSWERS = 5
 
 
+class _Sample(NamedTuple):
+    """Answers of one version, and how many of them are bad."""
+
+    bad: int
+    total: int
+
+
 def pool(
     parts: Iterable[digests.RolloutEvidence], order: int
 ) -> digests.RolloutEvidence:
@@ -48,9 +58,9 @@
             total.candidate_failures + part.candidate_failures,
             total.baseline_requests + part.baseline_requests,
             total.baseline_failures + part.baseline_failures,
-            total.candidate_slowness + part.candidate_slowness,
+            total.candidate_slow + part.candidate_slow,
             total.candidate_timed + part.candidate_timed,
-            total.baseline_slowness + part.baseline_slowness,
+            total.baseline_slow + part.baseline_slow,
             total.baseline_timed + part.baseline_timed,
         )
     return total
@@ -92,23 +102,42 @@
 
 
 def _fails_more(pooled: digests.RolloutEvidence) -> bool:
-    if pooled.candidate_failures < MIN_FAILURES:
-        return False
-    baseline_rate = 0.0
-    if pooled.baseline_requests:
-        baseline_rate = pooled.baseline_failures / pooled.baseline_requests
-    tolerated_rate = min(
-        1.0, baseline_rate * BASELINE_MARGIN + TOLERATED_FAILURE_RATE
+    return _is_more(
+        _Sample(pooled.candidate_failures, pooled.candidate_requests),
+        _Sample(pooled.baseline_failures, pooled.baseline_requests),
+        MIN_FAILURES,
+        TOLERATED_FAILURE_RATE,
     )
-    probability = binomial_tail(
-        pooled.candidate_failures, pooled.candidate_requests, tolerated_rate
-    )
-    return probability < MAX_FALSE_ALARM
 
 
 def _is_slow(pooled: digests.RolloutEvidence) -> bool:
-    if min(pooled.candidate_timed, pooled.baseline_timed) < MIN_TIMED:
+    if pooled.baseline_timed < MIN_TIMED:
+        return False
+    return _is_more(
+        _Sample(round(pooled.candidate_slow), pooled.candidate_timed),
+        _Sample(round(pooled.baseline_slow), pooled.baseline_timed),
+        MIN_SLOW,
+        TOLERATED_SLOW_RATE,
+    )
+
+
+def _is_more(
+    candidate: _Sample,
+    baseline: _Sample,
+    fewest: int,
+    tolerated: float,
+) -> bool:
+    """Returns whether bad answers are certainly more frequent.
+
+    Args:
+      candidate: Answers of the candidate.
+      baseline: Answers of the other versions.
+      fewest: Fewest bad answers for that conclusion.
+      tolerated: Rate that is tolerated beyond the baseline's.
+    """
+    if candidate.bad < fewest:
         return False
-    candidate = pooled.candidate_slowness / pooled.candidate_timed
-    baseline = pooled.baseline_slowness / pooled.baseline_timed
-    return candidate - baseline > math.log(MAX_SLOWDOWN_RATIO)
+    baseline_rate = baseline.bad / baseline.total if baseline.total else 0.0
+    tolerated_rate = min(1.0, baseline_rate * BASELINE_MARGIN + tolerated)
+    probability = binomial_tail(candidate.bad, candidate.total, tolerated_rate)
+    return probability < MAX_FALSE_ALARM
--- a/packages/ragwortgw-gateway/tests/fleet_driver.py
+++ b/packages/ragwortgw-gateway/tests/fleet_driver.py
@@ -26,7 +26,8 @@
 
     gateway: 'RecordingGateway'
     dispatch: requests.Dispatch
-    sent_ms: int
+    begin_ms: int
+    end_ms: int
     bad: bool
 
 
@@ -60,6 +61,7 @@
       gateways: The gateways.
       now_ms: The time.
       limits_by_server: Limits that servers name in their answers.
+      slowdown: Returns the factor by which an attempt takes longer.
       arrivals: (time, server) of each request that reached a server.
       crashed: (time, server) of each crash under the bad block.
       bad_sent: Times at which requests with the bad block reached a server.
@@ -74,6 +76,7 @@
         self.now_ms = harness.START_MS
         self.servers = [f's{n}' for n in range(server_count)]
         self.limits_by_server = {}
+        self.slowdown = lambda dispatch: 1
         self.arrivals = []
         self.crashed = []
         self.bad_sent = []
@@ -106,6 +109,27 @@
             }
         return gateway
 
+    def add_server(self, server_id, **changes):
+        """Registers a server.
+
+        Args:
+          server_id: Its id.
+          changes: Fields of its registration.
+        """
+        self.servers.append(server_id)
+        server = harness.make_server(server_id, **changes)
+        for gateway in self.gateways:
+            gateway.write(f'servers/{server_id}', server)
+
+    def write(self, key, value):
+        """Writes a value that all gateways get at the same revision."""
+        revision = 1 + max(each.revision for each in self.gateways)
+        for gateway in self.gateways:
+            gateway.revision = revision
+            found = harness.make_found(key, value, revision)
+            gateway.deliver_changes(found)
+        return revision
+
     def restart(self, gateway):
         """Ends a gateway's process and starts another on its host."""
         self.gateways.remove(gateway)
@@ -204,14 +228,13 @@
         for execution in list(self._executions):
             if execution not in self._executions:
                 continue
-            age_ms = self.now_ms - execution.sent_ms
             gateway = execution.gateway
             gateway.now_ms = self.now_ms
             server_id = execution.dispatch.server_id
-            if age_ms == BEGIN_MS and execution.bad:
+            if self.now_ms == execution.begin_ms and execution.bad:
                 self.crashed.append((self.now_ms, server_id))
                 self.crash(server_id)
-            elif age_ms == BEGIN_MS:
+            elif self.now_ms == execution.begin_ms:
                 gateway.reduce(events.ServersHeard((server_id,)))
                 self.announce(gateway, server_id)
                 gateway.receive_answer_head(
@@ -219,7 +242,7 @@
                     confidence=100,
                     streaming=execution.dispatch.streaming,
                 )
-            elif age_ms >= END_MS:
+            elif self.now_ms >= execution.end_ms:
                 gateway.reduce(events.ServersHeard((server_id,)))
                 gateway.finish_attempt(execution.dispatch)
                 self._executions.remove(execution)
@@ -267,7 +290,12 @@
         self.arrivals.append((self.now_ms, dispatch.server_id))
         if bad:
             self.bad_sent.append(self.now_ms)
-        self._executions.append(Execution(gateway, dispatch, self.now_ms, bad))
+        factor = self.slowdown(dispatch)
+        begin_ms = self.now_ms + factor * BEGIN_MS
+        end_ms = self.now_ms + factor * END_MS
+        self._executions.append(
+            Execution(gateway, dispatch, begin_ms, end_ms, bad)
+        )
 
     def _relay(self, effect):
         addresses = getattr(effect, 'addresses', ())
--- a/packages/ragwortgw-gateway/tests/test_policies.py
+++ b/packages/ragwortgw-gateway/tests/test_policies.py
@@ -213,11 +213,31 @@
             self.evaluate(
                 candidate_requests=10,
                 candidate_timed=10,
-                candidate_slowness=18.0,
+                candidate_slow=6,
                 baseline_timed=50,
             ),
         )
 
+    def test_candidate_that_is_slow_like_the_baseline_is_good(self):
+        self.assertEqual(
+            'good',
+            self.evaluate(
+                candidate_requests=20,
+                candidate_timed=20,
+                candidate_slow=5,
+                baseline_timed=200,
+                baseline_slow=40,
+            ),
+        )
+
+    def test_slow_answers_say_nothing_without_a_baseline(self):
+        self.assertEqual(
+            'good',
+            self.evaluate(
+                candidate_requests=20, candidate_timed=20, candidate_slow=20
+            ),
+        )
+
     def test_false_alarms_are_rare(self):
         rng = random.Random(6)
         false_alarms = 0
