--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -29,7 +29,16 @@
     'protocol': 'garbled',
 }
 #: Answers of plain services are passed on whole; larger ones are refused.
-MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
+#: Bytes of all such answers that have begun to arrive. Beyond it, the largest
+#: is given up: servers may send without end.
+MAX_HELD_BYTES = 32 * 1024 * 1024
+#: Bytes of an event of a stream.
+MAX_EVENT_BYTES = 256 * 1024
+#: What is read of the body of a refusal, whose head says all, so that its
+#: connection can be kept.
+MAX_REFUSAL_BYTES = 64 * 1024
+REFUSAL_TIMEOUT_S = 0.25
 
 #: Servers whose limits are remembered, until an answer comes without one.
 MAX_LIMITED = 1_024
@@ -62,6 +71,7 @@
         self.delivering = False
         self.held: list[event_stream.RawEvent] = []
         self.next_event = 0
+        self.body_bytes = 0
 
 
 class BackendCalls:
@@ -74,6 +84,7 @@
       on_event: Takes the events of attempts.
 
     Attributes:
+      held_bytes: Bytes of plain answers that have begun to arrive.
       heard: Servers from which something came since this was cleared.
       advanced: Events of streams in progress that came since this was
         cleared, without the first ones, by attempt.
@@ -94,6 +105,7 @@
         self.pool = backend_channels.ChannelPool(loop)
         #: Limits by server, from the latest answers that named one.
         self._limited: dict[fleet.ServerProcess, float] = {}
+        self.held_bytes = 0
         self.heard: set[str] = set()
         self.advanced: collections.Counter[str] = collections.Counter()
 
@@ -197,15 +209,14 @@
         head, channel = call.head, call.channel
         assert head is not None and channel is not None
         if head.proves_not_run or head.other_server:
-            await self._whole_body(channel)
-            self._release(call)
+            await self._end_refusal(call, channel)
             return events.AttemptRefused(
                 call.dispatch.attempt_id, head.other_server
             )
         if head.streaming:
             return await self._relay(call)
         self._on_event(events.AttemptAnswered(call.dispatch.attempt_id, head))
-        body = await self._whole_body(channel)
+        body = await self._whole_body(call, channel)
         self._release(call)
         answer = requests.Answer(head.status, head.headers, body)
         return events.AttemptEnded(call.dispatch.attempt_id, answer, 0)
@@ -319,18 +330,58 @@
             self._protocol.request_headers(request, dispatch, clock.now_ms()),
         )
 
-    async def _whole_body(self, channel: http_channel.Channel) -> bytes:
-        pieces: list[bytes] = []
+    async def _end_refusal(
+        self, call: _Call, channel: http_channel.Channel
+    ) -> None:
+        """Reads the rest of a refusal, and keeps its connection if it ends.
+
+        What comes after its head changes nothing.
+        """
         size_bytes = 0
+        try:
+            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+                while piece := await channel.next_piece():
+                    size_bytes += len(piece)
+                    if size_bytes > MAX_REFUSAL_BYTES:
+                        break
+        except TimeoutError:
+            LOG.info(
+                'refusal of server %s does not end', call.dispatch.server_id
+            )
+        if channel.reusable:
+            self._release(call)
+        else:
+            self._close(call)
+
+    async def _whole_body(
+        self, call: _Call, channel: http_channel.Channel
+    ) -> bytes:
+        pieces: list[bytes] = []
         while piece := await channel.next_piece():
             pieces.append(piece)
-            size_bytes += len(piece)
-            if size_bytes > MAX_BODY_BYTES:
+            call.body_bytes += len(piece)
+            self.held_bytes += len(piece)
+            if call.body_bytes > MAX_BODY_BYTES:
                 raise _Broken('garbled', 'unknown')
+            if self.held_bytes > MAX_HELD_BYTES:
+                self._give_up_largest(call)
         if channel.failure is not None:
             raise _Broken(REASONS[channel.failure.reason], 'unknown')
         return b''.join(pieces)
 
+    def _give_up_largest(self, call: _Call) -> None:
+        """Gives up the largest of the answers that are held.
+
+        Args:
+          call: The one that grew beyond the limit of all.
+        """
+        largest = max(
+            self._calls_by_id.values(), key=lambda each: each.body_bytes
+        )
+        if largest.body_bytes <= call.body_bytes:
+            raise _Broken('garbled', 'unknown')
+        self.abandon(largest.dispatch.attempt_id, 'garbled')
+
     async def _relay(self, call: _Call) -> Any:
         """Passes whole events on, in order, until the stream ends."""
         channel = call.channel
@@ -341,6 +392,8 @@
         while piece := await channel.next_piece():
             self.heard.add(call.dispatch.server_id)
             found = splitter.feed(piece)
+            if len(splitter.rest) > MAX_EVENT_BYTES:
+                raise _Broken('garbled', 'unknown')
             count += len(found)
             self._take(call, found)
             if not announced and found:
@@ -375,12 +428,16 @@
 
     def _release(self, call: _Call) -> None:
         assert call.channel is not None and call.head is not None
+        self.held_bytes -= call.body_bytes
+        call.body_bytes = 0
         channel, call.channel = call.channel, None
         self.pool.release(
             call.dispatch.server_id, channel, call.head.keep_alive_ms
         )
 
     def _close(self, call: _Call) -> None:
+        self.held_bytes -= call.body_bytes
+        call.body_bytes = 0
         if call.channel is not None:
             channel, call.channel = call.channel, None
             self.pool.discard(call.dispatch.server_id, channel)
--- a/packages/ragwortgw-server/ragwortgw_server/http_channel.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_channel.py
@@ -11,7 +11,10 @@
 from ragwortgw_server import connections
 from ragwortgw_server import http_parsing
 
+#: Bytes of a response's head, with all interim heads before it.
 MAX_HEAD_BYTES = 65536
+#: Bytes of responses to earlier requests that are read past.
+MAX_SKIPPED_BYTES = 1024 * 1024
 STREAM_BUFFER_BYTES = 262144
 
 Reason = Literal['refused', 'timeout', 'reset', 'protocol']
@@ -59,6 +62,9 @@
         self._tried = False
         self._method = ''
         self._raw = b''
+        self._head_bytes = 0
+        self._interim_bytes = 0
+        self._skipped_bytes = 0
         self._body: http_parsing.Body | None = None
         self._pieces: collections.deque[bytes] = collections.deque()
         self._piece_bytes = 0
@@ -107,6 +113,8 @@
         self._tried = True
         self._method = call.method
         self._raw = b''
+        self._interim_bytes = 0
+        self._skipped_bytes = 0
         self._body = None
         self._stop_timer()
         left_ms = max(0, call.deadline_ms - clock.now_ms())
@@ -125,10 +133,17 @@
     async def skip_response(self) -> None:
         """Reads past a response that answers an earlier request.
 
-        The next response, if any, is the one to wait for.
+        The next response, if any, is the one to wait for. It fails after
+        MAX_SKIPPED_BYTES of them.
         """
-        while await self.next_piece():
-            pass
+        self._skipped_bytes += self._head_bytes
+        while piece := await self.next_piece():
+            self._skipped_bytes += len(piece)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                break
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail('protocol')
+            return
         if self.failure is not None or self._body is None:
             return
         if self._ends_with_connection:
@@ -183,15 +198,19 @@
                     self._fail('protocol')
                 return b''
             end += len(http_parsing.HEAD_END)
+            self._head_bytes = end
             parsed = http_parsing.parse_response_head(self._raw[:end])
             self._raw = self._raw[end:]
             if not isinstance(parsed, Success):
                 self._fail('protocol')
                 return b''
             head = parsed.unwrap()
-            if head.status < 200:
-                continue
-            break
+            if head.status >= 200:
+                break
+            self._interim_bytes += end
+            if self._interim_bytes > MAX_HEAD_BYTES:
+                self._fail('protocol')
+                return b''
         framed = http_parsing.response_body(self._method, head)
         if not isinstance(framed, Success):
             self._fail('protocol')
--- a/packages/ragwortgw-server/tests/test_backend_calls.py
+++ b/packages/ragwortgw-server/tests/test_backend_calls.py
@@ -10,11 +10,16 @@
 from ragwortgw_server import backend_calls
 
 
+#: Time after which a test that waits for an event fails.
+LIMIT_S = 10
+
+
 class ScriptedChannel:
     """A connection on which an answer arrives piece by piece."""
 
     failure = None
     head = object()
+    reusable = True
 
     def __init__(self, pieces, uses=1):
         self._pieces = list(pieces)
@@ -146,10 +151,11 @@
         self.protocol.read_head.return_value = head
         self.calls.pool.kept.return_value = ScriptedChannel([])
         self.dispatch('r.1')
-        while not isinstance(
-            self.events and self.events[-1], events.AttemptRefused
-        ):
-            await asyncio.sleep(0)
+        async with asyncio.timeout(LIMIT_S):
+            while not isinstance(
+                self.events and self.events[-1], events.AttemptRefused
+            ):
+                await asyncio.sleep(0)
         return self.events[0]
 
     async def test_announcement_precedes_the_refusal(self):
