--- a/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
@@ -206,4 +206,4 @@
     """
     track = state.rollouts.tracks_by_service.get(active.service)
     if track is not None and not track.final:
-        track.evidence.add(**amounts)
+        track.evidence.add(active.route.id, **amounts)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -241,7 +241,8 @@
       store_age_ms: Time since the store last answered it.
       loads_by_server: Its work by backend server, without idle servers.
       crashes: Crashes of the last minute that it observed itself.
-      evidence_by_service: Its evidence on roll-outs that are in progress.
+      evidence_by_service: Its evidence on roll-outs that are in progress, by
+        service and by 'SERVICE\\nROUTE'.
       leaving: Registered servers that it knows to be leaving.
       configuration: Version of its configuration, 0 if it has none.
       settling_ms: Time for which the store, which was restored from an
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -291,8 +291,8 @@
         return []
     evidence: dict[str, list[digests.RolloutEvidence]] = {}
     for peer in state.peers_by_id.values():
-        for service, observed in peer.digest.evidence_by_service.items():
-            evidence.setdefault(service, []).append(observed)
+        for key, observed in peer.digest.evidence_by_service.items():
+            evidence.setdefault(key, []).append(observed)
     baseline_running = {
         service: state.loads.running(
             server.id
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
@@ -50,6 +50,11 @@
 #: Gateways that get their turn between FORCE_AT and the end of a roll-out:
 #: the store may turn some of them away.
 LAST_TURNS = 4
+#: Routes of which evidence is kept for each roll-out, the first ones used.
+MAX_ROUTES = 32
+#: Time for which a verdict is used; pooling the evidence of many gateways
+#: takes time, and peers send theirs less often.
+EVALUATION_INTERVAL_MS = 100
 CALL_TIMEOUT_MS = 1_500
 RETRY_MS = 400
 #: Phases in which a roll-out is over.
@@ -81,17 +86,37 @@
 
 
 class EvidenceCounter:
-    """Evidence that this gateway collects on one roll-out."""
+    """Evidence that this gateway collects on one roll-out.
+
+    Attributes:
+      counts: All of it.
+      counts_by_route: The parts of it by route, of MAX_ROUTES routes.
+    """
 
     def __init__(self, order: int) -> None:
         self.counts = digests.RolloutEvidence(order)
+        self.counts_by_route: dict[str, digests.RolloutEvidence] = {}
+
+    def add(self, route_id: str = '', **amounts: float) -> None:
+        """Adds amounts to the fields of the same names.
 
-    def add(self, **amounts: float) -> None:
-        """Adds amounts to the fields of the same names."""
-        fields = self.counts._asdict()
-        for name, amount in amounts.items():
-            fields[name] += amount
-        self.counts = digests.RolloutEvidence(**fields)
+        Args:
+          route_id: The route that they belong to, '' if it is unknown.
+          amounts: The amounts.
+        """
+        self.counts = _add(self.counts, amounts)
+        counts = self.counts_by_route.get(route_id)
+        if counts is None:
+            if not route_id or len(self.counts_by_route) >= MAX_ROUTES:
+                return
+            counts = digests.RolloutEvidence(self.counts.order)
+        self.counts_by_route[route_id] = _add(counts, amounts)
+
+    def rename_order(self, order: int) -> None:
+        """Goes on under another revision of the order."""
+        self.counts = self.counts._replace(order=order)
+        for route_id, counts in self.counts_by_route.items():
+            self.counts_by_route[route_id] = counts._replace(order=order)
 
 
 class RolloutTrack:
@@ -112,6 +137,8 @@
       call_deadline_ms: No call to the store is made before this time.
       status: Status for operators, as last seen in the store or written.
       wrote_step: Whether this gateway wrote the step.
+      verdict: What the pooled evidence said when it was last evaluated.
+      evaluation_due_ms: When it is evaluated next.
     """
 
     def __init__(
@@ -130,6 +157,8 @@
         self.call_deadline_ms = 0
         self.status = b''
         self.wrote_step = False
+        self.verdict: version_evidence.Verdict = 'undecided'
+        self.evaluation_due_ms = 0
 
     @property
     def phase(self) -> Phase:
@@ -161,9 +190,7 @@
     def rename_order(self, order: documents.RolloutOrder) -> None:
         """Goes on under the revision at which the order was written again."""
         self.order = order
-        self.evidence.counts = self.evidence.counts._replace(
-            order=order.revision
-        )
+        self.evidence.rename_order(order.revision)
         if self.step is not None:
             self.step = self.step._replace(order=order.revision)
 
@@ -192,11 +219,12 @@
 
     Args:
       ids: Host ids of the peers.
-      evidence_by_service: Evidence of each peer, by service.
+      evidence_by_key: Evidence of each peer, by service and by the key of a
+        service's route.
     """
 
     ids: tuple[str, ...]
-    evidence_by_service: dict[str, list[digests.RolloutEvidence]]
+    evidence_by_key: dict[str, list[digests.RolloutEvidence]]
 
 
 class RolloutController:
@@ -389,23 +417,62 @@
     def local_evidence(
         self, now_ms: int
     ) -> dict[str, digests.RolloutEvidence]:
-        """Returns this gateway's evidence by service, for its digest."""
-        return {
-            service: track.evidence.counts._replace(
+        """Returns this gateway's evidence for its digest.
+
+        Returns: Evidence by service and by the key of a service's route.
+        """
+        evidence: dict[str, digests.RolloutEvidence] = {}
+        for service, track in self.tracks_by_service.items():
+            if track.final:
+                continue
+            evidence[service] = track.evidence.counts._replace(
                 elapsed_ms=track.elapsed_ms(now_ms)
             )
-            for service, track in self.tracks_by_service.items()
-            if not track.final
-        }
+            for route_id, counts in track.evidence.counts_by_route.items():
+                evidence[_route_key(service, route_id)] = counts
+        return evidence
 
     def pooled_evidence(
         self, service: str, track: RolloutTrack, peers: PeerEvidence
     ) -> digests.RolloutEvidence:
         """Returns the evidence of all gateways together."""
         parts = [track.evidence.counts]
-        parts += peers.evidence_by_service.get(service, [])
+        parts += peers.evidence_by_key.get(service, [])
         return version_evidence.pool(parts, track.order.revision)
 
+    def _verdict(
+        self,
+        stamp: events.Stamp,
+        service: str,
+        track: RolloutTrack,
+        peers: PeerEvidence,
+    ) -> version_evidence.Verdict:
+        """Returns what the evidence of all gateways says, as of lately."""
+        if stamp.now_ms >= track.evaluation_due_ms:
+            track.evaluation_due_ms = stamp.now_ms + EVALUATION_INTERVAL_MS
+            track.verdict = self._evaluate_routes(service, track, peers)
+        return track.verdict
+
+    def _evaluate_routes(
+        self, service: str, track: RolloutTrack, peers: PeerEvidence
+    ) -> version_evidence.Verdict:
+        """Evaluates the evidence of all gateways on each route."""
+        prefix = _route_key(service, '')
+        parts_by_key = {
+            _route_key(service, route_id): [counts]
+            for route_id, counts in track.evidence.counts_by_route.items()
+        }
+        for key, parts in peers.evidence_by_key.items():
+            if key.startswith(prefix):
+                parts_by_key.setdefault(key, []).extend(parts)
+        return version_evidence.evaluate(
+            self.pooled_evidence(service, track, peers),
+            {
+                key: version_evidence.pool(parts, track.order.revision)
+                for key, parts in parts_by_key.items()
+            },
+        )
+
     def on_result(
         self,
         stamp: events.Stamp,
@@ -455,7 +522,7 @@
             track.began_ms = stamp.now_ms - pooled.elapsed_ms
         if (
             track.candidate_rejected
-            or version_evidence.evaluate(pooled) != 'bad'
+            or self._verdict(stamp, service, track, peers) != 'bad'
         ):
             return []
         track.candidate_rejected = True
@@ -548,17 +615,19 @@
         now_ms = stamp.now_ms - round(position * track.stand_in_ms)
         elapsed_ms = track.elapsed_ms(now_ms)
         since_step_ms = now_ms - track.step_seen_ms
-        pooled = self.pooled_evidence(service, track, peers)
-        if version_evidence.evaluate(pooled) != 'good':
-            return None
         duration_ms = track.order.duration_ms
+        forced = elapsed_ms >= duration_ms * FORCE_AT
+        verdict = self._verdict(stamp, service, track, peers)
+        if verdict == 'doubtful' and forced:
+            return 'reverted'
+        if verdict != 'good':
+            return None
         if track.phase == 'canary':
             return 'half' if elapsed_ms >= duration_ms * MOVE_AT else None
         if since_step_ms < MIN_STEP_MS:
             return None
         if track.phase == 'half':
             return 'all' if elapsed_ms >= duration_ms * ALL_AT else None
-        forced = elapsed_ms >= duration_ms * FORCE_AT
         drained = since_step_ms >= SETTLE_MS and baseline_running == 0
         return 'complete' if drained or forced else None
 
@@ -598,6 +667,21 @@
         return self._calls.call(stamp, OWNER, tag, call, deadline_ms)
 
 
+def _add(
+    counts: digests.RolloutEvidence, amounts: dict[str, float]
+) -> digests.RolloutEvidence:
+    """Returns evidence with amounts added to the fields of the same names."""
+    fields = counts._asdict()
+    for name, amount in amounts.items():
+        fields[name] += amount
+    return digests.RolloutEvidence(**fields)
+
+
+def _route_key(service: str, route_id: str) -> str:
+    """Returns the key of a route's evidence in digests."""
+    return f'{service}\n{route_id}'
+
+
 def _falls_back(phase: Phase, known: Phase) -> bool:
     """Returns whether a phase is earlier than the one that is known."""
     return RANKS_BY_PHASE[phase] < RANKS_BY_PHASE[known]
--- a/packages/ragwortgw-gateway/tests/test_policies.py
+++ b/packages/ragwortgw-gateway/tests/test_policies.py
@@ -180,9 +180,9 @@
     def evaluate(self, **fields):
         return version_evidence.evaluate(digests.RolloutEvidence(1, **fields))
 
-    def test_few_failures_are_undecided(self):
+    def test_few_failures_are_doubtful(self):
         self.assertEqual(
-            'undecided',
+            'doubtful',
             self.evaluate(candidate_requests=2, candidate_failures=2),
         )
 
@@ -230,6 +230,63 @@
             ),
         )
 
+    def test_route_that_is_slow_on_any_version_hides_no_slow_candidate(self):
+        slow_on_any = digests.RolloutEvidence(
+            0,
+            candidate_timed=15,
+            candidate_slow=15,
+            baseline_timed=60,
+            baseline_slow=60,
+        )
+        other = digests.RolloutEvidence(
+            0,
+            candidate_timed=25,
+            candidate_slow=12,
+            baseline_timed=100,
+            baseline_slow=2,
+        )
+        pooled = version_evidence.pool([slow_on_any, other], 0)
+        self.assertEqual('undecided', version_evidence.evaluate(pooled))
+        by_route = {'slow': slow_on_any, 'other': other}
+        verdict = version_evidence.evaluate(pooled, by_route)
+        self.assertEqual('bad', verdict)
+
+    def test_candidate_that_is_bad_on_one_route_is_bad(self):
+        sound = digests.RolloutEvidence(
+            0, candidate_requests=90, baseline_requests=400
+        )
+        bad = digests.RolloutEvidence(
+            0, candidate_requests=8, candidate_failures=4, baseline_requests=40
+        )
+        pooled = version_evidence.pool([sound, bad], 0)
+        by_route = {'sound': sound, 'bad': bad}
+        verdict = version_evidence.evaluate(pooled, by_route)
+        self.assertEqual('bad', verdict)
+
+    def test_sound_candidate_on_many_routes_is_seldom_doubtful(self):
+        rng = random.Random(7)
+        doubtful = 0
+        for _ in range(200):
+            routes = {}
+            for number in range(8):
+                rate = 0.02 * number
+                routes[f'r{number}'] = digests.RolloutEvidence(
+                    0,
+                    candidate_requests=20,
+                    candidate_failures=sum(
+                        rng.random() < rate for _ in range(20)
+                    ),
+                    baseline_requests=100,
+                    baseline_failures=sum(
+                        rng.random() < rate for _ in range(100)
+                    ),
+                )
+            pooled = version_evidence.pool(routes.values(), 0)
+            verdict = version_evidence.evaluate(pooled, routes)
+            self.assertNotEqual('bad', verdict)
+            doubtful += verdict == 'doubtful'
+        self.assertLessEqual(doubtful, 20)
+
     def test_slow_answers_say_nothing_without_a_baseline(self):
         self.assertEqual(
             'good',
--- a/packages/ragwortgw-gateway/tests/test_slow_versions.py
+++ b/packages/ragwortgw-gateway/tests/test_slow_versions.py
@@ -35,8 +35,11 @@
         self.send(4_000, route_ids)
         for number in range(5):
             self.fleet.add_server(f'n{number}', version='v2')
+        usual = self.fleet.slowdown
         self.fleet.slowdown = lambda dispatch: (
-            slowdown(dispatch) if dispatch.server_id.startswith('n') else 1
+            slowdown(dispatch)
+            if dispatch.server_id.startswith('n')
+            else usual(dispatch)
         )
         order = documents.RolloutOrder('proofs', 'v2', DURATION_MS, 0)
         self.began_ms = self.fleet.now_ms
@@ -85,6 +88,23 @@
         )
         self.check_reverted()
 
+    def test_version_that_is_slow_where_some_requests_always_are(self):
+        self.fleet.slowdown = lambda dispatch: (
+            SLOWDOWN if is_in_share(dispatch, 0.2) else 1
+        )
+        self.roll_out(
+            lambda dispatch: SLOWDOWN if is_in_share(dispatch, 0.6) else 1,
+            ('status',),
+        )
+        self.check_reverted()
+
+    def test_version_that_is_slow_on_one_route(self):
+        self.roll_out(
+            lambda dispatch: 1 if dispatch.model else SLOWDOWN,
+            ('draft', 'draft', 'draft', 'status'),
+        )
+        self.check_reverted()
+
     def test_version_whose_answers_come_after_the_deadline_is_reverted(self):
         self.roll_out(
             lambda dispatch: 1_000 if is_in_share(dispatch, 0.5) else 1
