--- a/packages/ragwortgw-server/tests/test_endless_answers.py
+++ b/packages/ragwortgw-server/tests/test_endless_answers.py
@@ -4,17 +4,14 @@
 """
 
 import asyncio
-from unittest import mock
 
 from ragwortgw_gateway import events
-from ragwortgw_gateway import requests
 from ragwortgw_server import backend_calls
-from ragwortgw_server import clock
+from tests import attempt_case
 from tests import support
 
 #: Bytes of one answer that a gateway may read before it gives up.
 MAX_READ_BYTES = 16 * 1024 * 1024
-DEADLINE_MS = 15_000
 #: Time in which an answer that can't become whole has to be given up.
 PROMPT_S = 8
 PIECE = b'x' * 65_536
@@ -24,25 +21,6 @@
 FOREIGN = b'HTTP/1.1 200 OK\r\nId: another\r\n\r\n'
 
 
-class Protocol:
-    """Headers of a deployment, as short as these tests allow."""
-
-    def request_headers(self, request, dispatch, now_ms):
-        return ()
-
-    def read_head(self, head):
-        return requests.AnswerHead(
-            head.status,
-            (),
-            head.headers.get('id', 'r'),
-            'not-run' in head.headers,
-            False,
-            None,
-            None,
-            'content-type' in head.headers,
-        )
-
-
 class EndlessServer:
     """Sends a start and then the same bytes until its caller closes."""
 
@@ -75,40 +53,7 @@
         self.closed.set()
 
 
-class EndlessAnswerTest(support.LoopTest):
-    def setUp(self):
-        super().setUp()
-        self.events = []
-        self.callers = mock.Mock()
-        self.callers.request.return_value = mock.Mock(
-            id='r', method='GET', target='/', host='h', body=b''
-        )
-        self.callers.last_event.return_value = 0
-        self.callers.drained = mock.AsyncMock()
-        self.calls = backend_calls.BackendCalls(
-            self.loop, Protocol(), self.callers, self.events.append
-        )
-        self.addCleanup(self.calls.close)
-
-    def dispatch(self, server, attempt_id='r.1', streaming=False):
-        self.calls.send(
-            requests.Dispatch(
-                attempt_id,
-                'r',
-                f's {server.address}',
-                server.address,
-                4,
-                '',
-                '',
-                None,
-                '',
-                0,
-                streaming,
-                True,
-                clock.now_ms() + DEADLINE_MS,
-            )
-        )
-
+class EndlessAnswerTest(attempt_case.AttemptCase):
     def play(self, server, streaming=False):
         """Sends one attempt to a server and waits for its end.
 
@@ -117,7 +62,7 @@
 
         async def scenario():
             await server.open()
-            self.dispatch(server, streaming=streaming)
+            self.dispatch(server.address, streaming=streaming)
             async with asyncio.timeout(PROMPT_S):
                 await support.until(self.ended)
                 await server.closed.wait()
@@ -126,14 +71,6 @@
         self.assertLess(server.sent_bytes, MAX_READ_BYTES)
         return self.events[-1]
 
-    def ended(self):
-        final = (
-            events.AttemptBroke,
-            events.AttemptEnded,
-            events.AttemptRefused,
-        )
-        return any(isinstance(each, final) for each in self.events)
-
     def check_given_up(self, server, streaming=False):
         ended = self.play(server, streaming)
         self.assertIsInstance(ended, events.AttemptBroke)
@@ -194,7 +131,7 @@
             nonlocal most_bytes
             for number, server in enumerate(servers):
                 await server.open()
-                self.dispatch(server, f'r.{number}')
+                self.dispatch(server.address, f'r.{number}')
             async with asyncio.timeout(support.LIMIT_S):
                 while not all(server.closed.is_set() for server in servers):
                     most_bytes = max(most_bytes, self.calls.held_bytes)
