--- a/packages/ragwortgw-gateway/tests/test_slow_versions.py
+++ b/packages/ragwortgw-gateway/tests/test_slow_versions.py
@@ -5,6 +5,7 @@
 
 from ragwortgw_gateway import documents
 from tests import fleet_driver
+from tests import harness
 
 DURATION_MS = 15_000
 #: Share of requests that a bad version may get, and those beyond it.
@@ -114,3 +115,21 @@
     def test_version_that_is_slightly_slower_is_completed(self):
         self.roll_out(lambda dispatch: 1 + is_in_share(dispatch, 0.5))
         self.assertEqual({'complete'}, self.phases())
+
+
+class PaceTest(unittest.TestCase):
+    def test_version_on_trial_does_not_make_its_pace_the_usual_one(self):
+        driver = harness.GatewayDriver().start(servers=('s1',))
+        driver.tick(10_000)
+        driver.write('servers/n1', harness.make_server('n1', version='v2'))
+        order = documents.RolloutOrder('proofs', 'v2', DURATION_MS, 0)
+        driver.write('orders/rollout', order)
+        latency = driver.state.latency
+        before = latency.estimate_plain_request('proofs')
+        for number in range(5):
+            driver.state.sessions.record_version('s', 'v2', driver.now_ms)
+            dispatch = driver.arrive(f'r{number}', session='s')
+            self.assertEqual('n1', dispatch.server_id)
+            driver.now_ms += 900
+            driver.finish_attempt(dispatch)
+        self.assertEqual(before, latency.estimate_plain_request('proofs'))
