--- a/packages/ragwortgw-gateway/ragwortgw_gateway/version_evidence.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/version_evidence.py
@@ -116,7 +116,7 @@
 
 def evaluate(
     pooled: digests.RolloutEvidence,
-    pooled_by_route: Mapping[str, digests.RolloutEvidence] = {},
+    pooled_by_route: Mapping[str, digests.RolloutEvidence] | None = None,
 ) -> Verdict:
     """Evaluates the candidate of a roll-out by its failures and latency.
 
@@ -128,10 +128,8 @@
       pooled: Evidence of all gateways.
       pooled_by_route: The parts of it whose route is known.
     """
-    chance = min(
-        _chance(measure, pooled, pooled_by_route.values())
-        for measure in MEASURES
-    )
+    routes = (pooled_by_route or {}).values()
+    chance = min(_chance(measure, pooled, routes) for measure in MEASURES)
     if chance < MAX_FALSE_ALARM:
         return 'bad'
     if chance < MAX_DOUBT:
--- a/packages/ragwortgw-gateway/tests/test_attempts.py
+++ b/packages/ragwortgw-gateway/tests/test_attempts.py
@@ -9,7 +9,7 @@
     3_000,
     100,
     (
-        requests.PrefixBlock('tenant', 1_000),
+        requests.PrefixBlock('festival', 1_000),
         requests.PrefixBlock('x' * 100, 1_000),
         requests.PrefixBlock('own', 1_000),
     ),
@@ -26,7 +26,7 @@
     def test_names_the_blocks_that_other_requests_may_share(self):
         dispatch = self.gateway.arrive('r1', 'draft', prompt=PROMPT)
         self.gateway.break_attempt(dispatch)
-        self.assertEqual(self.broken()['blocks'], ['tenant', 'x' * 64])
+        self.assertEqual(self.broken()['blocks'], ['festival', 'x' * 64])
 
     def test_tells_how_long_the_answer_had_been_coming(self):
         dispatch = self.gateway.arrive('r1', 'draft', prompt=PROMPT)
--- a/packages/ragwortgw-gateway/tests/test_crash_evidence.py
+++ b/packages/ragwortgw-gateway/tests/test_crash_evidence.py
@@ -43,15 +43,15 @@
             self.crash(
                 f's{number}',
                 1_000 * (number + 1),
-                ('tenant', 'bad'),
-                ('tenant', f'brief-{number}'),
+                ('festival', 'bad'),
+                ('festival', f'brief-{number}'),
                 (f'other-{number}',),
             )
         self.assertEqual(['bad'], self.culprits())
 
     def test_last_of_the_blocks_that_always_come_together_is_found(self):
         for number in range(3):
-            self.crash(f's{number}', 1_000 * (number + 1), ('tenant', 'bad'))
+            self.crash(f's{number}', 1_000 * (number + 1), ('festival', 'bad'))
         self.assertEqual(['bad'], self.culprits())
 
     def test_two_blocks_are_found_one_after_the_other(self):
@@ -64,7 +64,7 @@
     def test_what_a_known_block_explains_says_nothing_of_others(self):
         for number in range(5):
             self.crash(
-                f's{number}', 1_000 * (number + 1), ('tenant', 'bad'), ('x',)
+                f's{number}', 1_000 * (number + 1), ('festival', 'bad'), ('x',)
             )
         self.assertEqual([], self.culprits(known={'bad'}))
 
@@ -91,7 +91,7 @@
             self.crash(
                 f's{number}',
                 1_000 * (number + 1),
-                ('tenant', 'x'),
+                ('festival', 'x'),
                 fingerprint=7,
             )
         self.assertEqual([], self.culprits())
--- a/packages/ragwortgw-gateway/tests/test_quarantine.py
+++ b/packages/ragwortgw-gateway/tests/test_quarantine.py
@@ -36,11 +36,11 @@
             self.turn += 1
             gateways = self.fleet.gateways
             gateway = gateways[self.turn % len(gateways)]
-            sound = [f'tenant-{self.turn % 3}', f'brief-{self.turn % 7}']
+            sound = [f'festival-{self.turn % 3}', f'brief-{self.turn % 7}']
             self.sound_ids.append(self.fleet.send(gateway, sound))
             other = gateways[(self.turn // 2) % len(gateways)]
             if bad:
-                self.fleet.send(other, [f'tenant-{self.turn % 3}', BAD])
+                self.fleet.send(other, [f'festival-{self.turn % 3}', BAD])
             self.fleet.run(INTERVAL_MS)
 
 
@@ -80,7 +80,7 @@
     def test_requests_in_progress_are_withdrawn_before_they_begin(self):
         crashing = fleet_driver.FleetDriver()
         gateway = crashing.gateways[0]
-        request_id = crashing.send(gateway, ['tenant', BAD])
+        request_id = crashing.send(gateway, ['festival', BAD])
         gateway.state.quarantine.add('other', crashing.stamp())
         report = digests.CrashReport(
             'edge-1', (), {}, (digests.QuarantinedBlock(BAD, 60_000),)
@@ -96,7 +96,7 @@
         for gateway in list(crashing.gateways):
             crashing.restart(gateway)
         sent = len(crashing.bad_sent)
-        crashing.send(crashing.gateways[0], ['tenant', BAD])
+        crashing.send(crashing.gateways[0], ['festival', BAD])
         crashing.run(1_000)
         self.assertEqual(sent, len(crashing.bad_sent))
 
@@ -164,7 +164,7 @@
         self.traffic.run(2_000, bad=False)
         for gateway in self.fleet.gateways:
             for _ in range(8):
-                self.fleet.send(gateway, ['tenant-0', 'brief-0'])
+                self.fleet.send(gateway, ['festival-0', 'brief-0'])
         self.fleet.run(fleet_driver.STEP_MS)
         self.fleet.crash(*self.fleet.servers[:5])
         self.fleet.run(2_000)
@@ -173,21 +173,21 @@
     def test_servers_that_die_one_after_the_other(self):
         for _ in range(6):
             self.traffic.run(1_200, bad=False)
-            self.fleet.send(self.fleet.gateways[0], ['tenant-0', 'brief-0'])
+            self.fleet.send(self.fleet.gateways[0], ['festival-0', 'brief-0'])
             self.fleet.run(fleet_driver.STEP_MS)
             self.fleet.crash(self.fleet.servers[0])
         self.fleet.run(3_000)
         self.check_nothing_quarantined()
 
     def test_connections_that_servers_reset(self):
-        rare = ['tenant-0', 'rare']
+        rare = ['festival-0', 'rare']
         for _ in range(4):
             self.fleet.send(self.fleet.gateways[0], rare)
             self.fleet.run(fleet_driver.STEP_MS)
             for server_id in list(self.fleet.servers):
                 self.fleet.reset_connections(server_id)
             for gateway in self.fleet.gateways:
-                self.fleet.send(gateway, ['tenant-1', 'brief-1'])
+                self.fleet.send(gateway, ['festival-1', 'brief-1'])
             self.traffic.run(800, bad=False)
         self.check_nothing_quarantined()
 
@@ -195,7 +195,7 @@
         for _ in range(4):
             self.fleet.send(
                 self.fleet.gateways[0],
-                ['tenant-0', 'rare'],
+                ['festival-0', 'rare'],
                 fingerprint=7,
                 crashes=True,
             )
--- a/packages/ragwortgw-gateway/tests/test_rate_limits.py
+++ b/packages/ragwortgw-gateway/tests/test_rate_limits.py
@@ -86,7 +86,7 @@
         while self.fleet.now_ms < until_ms:
             for gateway in self.fleet.gateways:
                 request_ids.append(
-                    self.fleet.send(gateway, ['tenant'], route_id=route_id)
+                    self.fleet.send(gateway, ['festival'], route_id=route_id)
                 )
             self.fleet.run(interval_ms)
         return request_ids
@@ -156,8 +156,8 @@
             self.fleet.announce(self.fleet.gateways[0], server_id)
         gateway = self.fleet.gateways[0]
         for _ in self.fleet.servers:
-            self.fleet.send(gateway, ['tenant'])
+            self.fleet.send(gateway, ['festival'])
         self.assertEqual([], self.fleet.refused)
-        request_id = self.fleet.send(gateway, ['tenant'])
+        request_id = self.fleet.send(gateway, ['festival'])
         self.assertEqual([request_id], self.fleet.refused)
         self.assertLessEqual(gateway.refusal_retry_ms(), 1_000)
--- a/packages/ragwortgw-gateway/tests/test_slow_versions.py
+++ b/packages/ragwortgw-gateway/tests/test_slow_versions.py
@@ -55,7 +55,7 @@
             turn += 1
             gateway = self.fleet.gateways[turn % len(self.fleet.gateways)]
             route_id = route_ids[turn // 4 % len(route_ids)]
-            self.fleet.send(gateway, ['tenant'], route_id=route_id)
+            self.fleet.send(gateway, ['festival'], route_id=route_id)
             self.fleet.run(fleet_driver.STEP_MS)
 
     def phases(self):
--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -40,7 +40,7 @@
 MAX_REFUSAL_BYTES = 64 * 1024
 REFUSAL_TIMEOUT_S = 0.25
 
-#: Servers whose limits are remembered, until an answer comes without one.
+#: Servers with a limit that are remembered, until an answer names none.
 MAX_LIMITED = 1_024
 
 #: The reducer ends requests at their deadline; a connection that still
@@ -103,8 +103,8 @@
         self._on_event = on_event
         self._calls_by_id: dict[str, _Call] = {}
         self.pool = backend_channels.ChannelPool(loop)
-        #: Limits by server, from the latest answers that named one.
-        self._limited: dict[fleet.ServerProcess, float] = {}
+        #: Servers whose latest answers named a limit, the oldest first.
+        self._limited: dict[fleet.ServerProcess, None] = {}
         self.held_bytes = 0
         self.heard: set[str] = set()
         self.advanced: collections.Counter[str] = collections.Counter()
@@ -310,8 +310,10 @@
     ) -> bool:
         """Returns whether an answer names a limit, or ends one."""
         if limit_per_s is None:
-            return self._limited.pop(process, None) is not None
-        self._limited[process] = limit_per_s
+            ends_limit = process in self._limited
+            self._limited.pop(process, None)
+            return ends_limit
+        self._limited[process] = None
         if len(self._limited) > MAX_LIMITED:
             del self._limited[next(iter(self._limited))]
         return True
