--- a/review/standins.py
+++ b/review/standins.py
@@ -672,19 +672,32 @@
     record = Record(directory)
 
     async def limited():
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        # What was started is ended also if the script is told to end.
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(limit_s):
             return await case(record)
 
     try:
         broken = asyncio.run(limited())
-    except (CouldNotRun, TimeoutError, OSError) as error:
+    except (
+        CouldNotRun,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as error:
         record.write('script', f'could not run: {error!r}')
         record.close()
-        print(f'could not run: {error!r}')
-        sys.exit(COULD_NOT_RUN)
+        finish(f'could not run: {error!r}', COULD_NOT_RUN)
     for line in broken:
         record.write('check', line)
     record.write('check', 'rule broken' if broken else 'rule held')
     record.close()
-    print('\n'.join(broken) or 'rule held')
-    sys.exit(BROKEN if broken else HELD)
+    finish('\n'.join(broken) or 'rule held', BROKEN if broken else HELD)
+
+
+def finish(text, status):
+    """Ends the script without the clean-up of streams left open."""
+    print(text, flush=True)
+    os._exit(status)
