--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # case couldn't run. TROUBLE=0: the same requests with a space before the
 # version, as usual.
 here=$(cd "$(dirname "$0")" && pwd)
-exec python3 "$here/case.py" "$here"
+exec python3 -B "$here/case.py" "$here"
