Log what answers are taken for, and on which connection

The logs could not tell whether a refusal was the answer to the attempt or a copy of an earlier one, nor which status left a gateway.

answer-judged says for each answer that is no success what it was taken for, its status, the id in it, the connection's number and how many requests that had carried; gateway_answers_judged_total counts them. request-ended and request-malformed have the status, request-ended the number of attempts sent. Nothing is decided differently.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -25,6 +25,8 @@
 
 REDUCER = gateway_state.REDUCER
 
+#: HTTP status of a stream that was passed on.
+OK = 200
 #: Lowest HTTP status of a server's failure.
 MIN_SERVER_ERROR = 500
 #: Lowest HTTP status that is not a success.
@@ -111,6 +113,31 @@
     ]
 
 
+@REDUCER.handles(events.AnswerJudged)
+def on_judged(
+    state: gateway_state.State,
+    stamp: core_events.Stamp,
+    event: events.AnswerJudged,
+) -> list[Any]:
+    """Logs what an answer was taken for, and on which connection it came."""
+    active = state.requests_by_attempt.get(event.attempt_id)
+    if active is None:
+        return []
+    attempt = active.attempts_by_id[event.attempt_id]
+    fields = {
+        'request': active.request.id,
+        'server': attempt.server.id,
+        **event._asdict(),
+        'after_ms': stamp.now_ms - attempt.sent_ms,
+    }
+    return [
+        core_effects.Record('answer-judged', fields),
+        core_effects.Count(
+            'gateway_answers_judged', (('verdict', event.verdict),)
+        ),
+    ]
+
+
 @REDUCER.handles(events.StreamsAdvanced)
 def on_streams_advanced(
     state: gateway_state.State,
@@ -159,7 +186,7 @@
         crash_containment.record_sound(state, stamp, active, attempt)
         return [
             effects.FinishStream(active.request.id),
-            *completion.finish(state, stamp, active, 'answered'),
+            *completion.finish(state, stamp, active, 'answered', OK),
         ]
     if event.answer.status >= MIN_SERVER_ERROR:
         return _on_error_answer(state, stamp, active, attempt, event)
@@ -169,7 +196,9 @@
     _record_success(state, active, attempt)
     return [
         effects.Respond(active.request.id, event.answer),
-        *completion.finish(state, stamp, active, 'answered'),
+        *completion.finish(
+            state, stamp, active, 'answered', event.answer.status
+        ),
     ]
 
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
@@ -66,7 +66,13 @@
     if active.fallback_answer is not None:
         return [
             effects.Respond(active.request.id, active.fallback_answer),
-            *finish(state, stamp, active, 'failed-by-server'),
+            *finish(
+                state,
+                stamp,
+                active,
+                'failed-by-server',
+                active.fallback_answer.status,
+            ),
         ]
     return None
 
@@ -84,7 +90,7 @@
         )
     return [
         effects.Refuse(active.request.id, failure),
-        *finish(state, stamp, active, failure.slug),
+        *finish(state, stamp, active, failure.slug, failure.status),
     ]
 
 
@@ -93,6 +99,7 @@
     stamp: events.Stamp,
     active: gateway_state.ActiveRequest,
     outcome: str,
+    status: int = 0,
 ) -> list[Any]:
     """Removes a request, cancels its attempts and records its outcome.
 
@@ -101,6 +108,7 @@
       stamp: Time and random seed.
       active: The request.
       outcome: Label of metrics; the slug of the refusal if it was refused.
+      status: HTTP status that the caller gets, 0 for none.
     Returns: Effects.
     """
     outputs: list[Any] = []
@@ -125,6 +133,8 @@
             {
                 'request': active.request.id,
                 'outcome': outcome,
+                'status': status,
+                'sent': active.attempts_sent,
                 'took_ms': duration_ms,
                 'runs': active.executions,
                 'refusals': active.refusals,
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -251,6 +251,7 @@
         stamp.now_ms,
     )
     active.attempts_by_id[attempt.id] = attempt
+    active.attempts_sent += 1
     state.requests_by_attempt[attempt.id] = active
     server = server_choice.server
     notes: list[Any] = []
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -37,6 +37,32 @@
     head: requests.AnswerHead
 
 
+#: How the head of an answer was judged: the answer to an earlier request on
+#: the connection, bytes that are no answer to the attempt, a proof that it
+#: was not run, a failure of the server.
+Verdict = Literal['earlier', 'garbled', 'not-run', 'failed']
+
+
+class AnswerJudged(NamedTuple):
+    """The head of an answer arrived that is no success of its attempt.
+
+    Args:
+      attempt_id: The attempt.
+      verdict: What the head was taken for.
+      status: Its HTTP status.
+      answered_id: Request that it names, '' for none.
+      connection: Number of the connection, unique in the process.
+      uses: Requests that the connection has carried, with this one.
+    """
+
+    attempt_id: str
+    verdict: Verdict
+    status: int
+    answered_id: str
+    connection: int
+    uses: int
+
+
 class AttemptEnded(NamedTuple):
     """An attempt's answer is complete.
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -329,7 +329,12 @@
 
 def _refuse_unrouted(request_id: str, failure: Any) -> list[Any]:
     """Refuses a request that has no route, or no right to use it."""
-    fields = {'request': request_id, 'outcome': failure.slug}
+    fields = {
+        'request': request_id,
+        'outcome': failure.slug,
+        'status': failure.status,
+        'sent': 0,
+    }
     return [
         effects.Refuse(request_id, failure),
         core_effects.Count(
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -127,6 +127,7 @@
       keeps_share: Whether it was admitted only since one of its classes had
         had less than its share.
       attempts_by_id: Attempts in progress.
+      attempts_sent: All attempts, in progress or finished.
       executions: Finished attempts that a server ran or may have run.
       refusals: Attempts that a server refused without running them.
       connect_failures: Attempts at servers that refused the connection, so
@@ -153,6 +154,7 @@
         'admitted',
         'keeps_share',
         'attempts_by_id',
+        'attempts_sent',
         'executions',
         'refusals',
         'connect_failures',
@@ -185,6 +187,7 @@
         self.admitted = False
         self.keeps_share = False
         self.attempts_by_id: dict[str, Attempt] = {}
+        self.attempts_sent = 0
         self.executions = 0
         self.refusals = 0
         self.connect_failures = 0
--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -40,6 +40,9 @@
 MAX_REFUSAL_BYTES = 64 * 1024
 REFUSAL_TIMEOUT_S = 0.25
 
+#: Lowest HTTP status that is no success.
+MIN_FAILURE_STATUS = 400
+
 #: Servers with a limit that are remembered, until an answer names none.
 MAX_LIMITED = 1_024
 
@@ -208,7 +211,7 @@
         self.heard.add(call.dispatch.server_id)
         head, channel = call.head, call.channel
         assert head is not None and channel is not None
-        if head.proves_not_run or head.other_server:
+        if _judge(call, channel, head) == 'not-run':
             await self._end_refusal(call, channel)
             return events.AttemptRefused(
                 call.dispatch.attempt_id, head.other_server
@@ -270,13 +273,34 @@
             assert channel.head is not None
             head = self._protocol.read_head(channel.head)
             self._announce(call, head)
-            if not head.request_id and channel.uses > 1:
+            verdict = _judge(call, channel, head)
+            if verdict is not None:
+                self._report(call, channel, head, verdict)
+            if verdict == 'garbled':
                 raise _Broken('garbled', 'unknown')
-            if not head.request_id or head.request_id == call.request.id:
+            if verdict != 'earlier':
                 call.head = head
                 return
             await channel.skip_response()
 
+    def _report(
+        self,
+        call: _Call,
+        channel: http_channel.Channel,
+        head: requests.AnswerHead,
+        verdict: events.Verdict,
+    ) -> None:
+        self._on_event(
+            events.AnswerJudged(
+                call.dispatch.attempt_id,
+                verdict,
+                head.status,
+                head.request_id[: requests.MAX_ID_CHARS],
+                channel.number,
+                channel.uses,
+            )
+        )
+
     def _announce(self, call: _Call, head: requests.AnswerHead) -> None:
         """Passes on what a server says of itself, with whatever answer.
 
@@ -443,3 +467,23 @@
         if call.channel is not None:
             channel, call.channel = call.channel, None
             self.pool.discard(call.dispatch.server_id, channel)
+
+
+def _judge(
+    call: _Call, channel: http_channel.Channel, head: requests.AnswerHead
+) -> events.Verdict | None:
+    """Decides what the head of an answer is to an attempt.
+
+    Args:
+      call: The attempt.
+      channel: The connection that it came on.
+      head: The head.
+    Returns: The verdict, None for an answer that is no failure.
+    """
+    if not head.request_id and channel.uses > 1:
+        return 'garbled'
+    if head.request_id and head.request_id != call.request.id:
+        return 'earlier'
+    if head.proves_not_run or head.other_server:
+        return 'not-run'
+    return 'failed' if head.status >= MIN_FAILURE_STATUS else None
--- a/packages/ragwortgw-server/ragwortgw_server/http_channel.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_channel.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Mapping
+import itertools
 from typing import Literal, NamedTuple
 
 from returns.result import Success
@@ -47,11 +48,20 @@
     lines: http_parsing.Lines = ()
 
 
+_numbers = itertools.count(1)
+
+
 class Channel:
-    """One connection with at most one request on it at a time."""
+    """One connection with at most one request on it at a time.
+
+    Attributes:
+      number: Unique in the process, for the log.
+      uses: Requests that were sent on it.
+    """
 
     def __init__(self, connection: connections.Connection) -> None:
         self.connection = connection
+        self.number = next(_numbers)
         self.idle_since_ms = 0
         self.idle_deadline_ms = 0
         self.uses = 0
--- a/packages/ragwortgw-server/tests/attempt_case.py
+++ b/packages/ragwortgw-server/tests/attempt_case.py
@@ -47,10 +47,14 @@
         self.callers.last_event.return_value = 0
         self.callers.drained = mock.AsyncMock()
         self.calls = backend_calls.BackendCalls(
-            self.loop, Protocol(), self.callers, self.events.append
+            self.loop, Protocol(), self.callers, self._on_event
         )
         self.addCleanup(self.calls.close)
 
+    def _on_event(self, event):
+        if not isinstance(event, events.AnswerJudged):
+            self.events.append(event)
+
     def dispatch(self, address, attempt_id='r.1', streaming=False):
         """Sends an attempt to the server at 'ip:port'."""
         self.calls.send(
--- a/packages/ragwortgw-server/tests/test_backend_calls.py
+++ b/packages/ragwortgw-server/tests/test_backend_calls.py
@@ -20,6 +20,7 @@
     failure = None
     head = object()
     reusable = True
+    number = 1
 
     def __init__(self, pieces, uses=1):
         self._pieces = list(pieces)
@@ -39,6 +40,7 @@
 class BackendCallsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.events = []
+        self.judged = []
         loop = mock.MagicMock()
         loop.spawn = lambda coroutine, name: asyncio.ensure_future(coroutine)
         self.callers = mock.Mock()
@@ -55,6 +57,9 @@
         self.calls.pool = mock.Mock()
 
     def on_event(self, event):
+        if isinstance(event, events.AnswerJudged):
+            self.judged.append(event)
+            return
         self.events.append(event)
         if isinstance(event, events.AttemptAnswered):
             self.calls.deliver(event.attempt_id)
@@ -191,6 +196,31 @@
         refused = await self.answer(request_id='')
         self.assertEqual(events.AttemptRefused('r.1', False), refused)
 
+    async def test_failures_are_reported_with_their_connection(self):
+        for verdict, fields in (
+            ('not-run', {}),
+            ('garbled', {'request_id': ''}),
+            ('failed', {'proves_not_run': False}),
+            (None, {'proves_not_run': False, 'status': 200}),
+        ):
+            self.events.clear()
+            self.judged.clear()
+            head = requests.AnswerHead(
+                503, (), 'r', True, False, None, None, False
+            )._replace(**fields)
+            self.protocol.read_head.return_value = head
+            channel = ScriptedChannel([], uses=4)
+            channel.number = 9
+            self.calls.pool.kept.return_value = channel
+            self.dispatch('r.1')
+            async with asyncio.timeout(LIMIT_S):
+                while not self.events:
+                    await asyncio.sleep(0)
+            judged = [(each.verdict, each[-2:]) for each in self.judged]
+            self.assertEqual(
+                [] if verdict is None else [(verdict, (9, 4))], judged
+            )
+
     async def test_limit_is_announced_until_an_answer_names_none(self):
         limits = []
         for limit_per_s in (1.3, 1.3, None, None):
