Pass on no status that promises what no server proved

Callers could see a server's own 503, 429 or 408, with its seal, for a request that this server may have run: without its word for 'not run' it counted as any answer and went to the caller as it was.

Now such a status counts as a failure of the attempt, so that a request that may run again does, and the caller gets 502 without the server's seal where no attempt is left. All answers of servers leave through completion.respond().

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -188,18 +188,16 @@
             effects.FinishStream(active.request.id),
             *completion.finish(state, stamp, active, 'answered', OK),
         ]
-    if event.answer.status >= MIN_SERVER_ERROR:
+    if (
+        event.answer.status >= MIN_SERVER_ERROR
+        or event.answer.status in completion.NOT_RUN_STATUSES
+    ):
         return _on_error_answer(state, stamp, active, attempt, event)
     active.executions += 1
     if event.answer.status < MIN_NON_SUCCESS:
         record_latency(state, stamp, active, attempt)
     _record_success(state, active, attempt)
-    return [
-        effects.Respond(active.request.id, event.answer),
-        *completion.finish(
-            state, stamp, active, 'answered', event.answer.status
-        ),
-    ]
+    return completion.respond(state, stamp, active, event.answer, 'answered')
 
 
 @REDUCER.handles(events.AttemptRefused)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
@@ -8,6 +8,11 @@
 from ragwortgw_gateway import admission
 from ragwortgw_gateway import effects
 from ragwortgw_gateway import gateway_state
+from ragwortgw_gateway import requests
+
+#: Statuses that promise a caller that its request was not run and will not
+#: be, so that it may repeat what must not run twice.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 def fail_request(
@@ -35,10 +40,7 @@
     if outputs is not None:
         return outputs
     if active.executions:
-        failure = errors.BackendFailed(
-            active.last_failure or active.service, 'unknown', None
-        )
-        return refuse(state, stamp, active, failure)
+        return refuse(state, stamp, active, _backend_failed(active))
     if failure is None:
         remaining_ms = active.deadline_ms - stamp.now_ms
         failure = errors.Overloaded(
@@ -64,19 +66,47 @@
             *finish(state, stamp, active, 'stream-cut'),
         ]
     if active.fallback_answer is not None:
-        return [
-            effects.Respond(active.request.id, active.fallback_answer),
-            *finish(
-                state,
-                stamp,
-                active,
-                'failed-by-server',
-                active.fallback_answer.status,
-            ),
-        ]
+        return respond(
+            state, stamp, active, active.fallback_answer, 'failed-by-server'
+        )
     return None
 
 
+def respond(
+    state: gateway_state.State,
+    stamp: events.Stamp,
+    active: gateway_state.ActiveRequest,
+    answer: requests.Answer,
+    outcome: str,
+) -> list[Any]:
+    """Ends a request with the answer of a backend server.
+
+    A status that would promise that the request was not run is replaced:
+    proofs of that are no answers, so that this server may have run it.
+
+    Args:
+      state: The gateway.
+      stamp: Time and random seed.
+      active: The request.
+      answer: The answer.
+      outcome: Label of metrics.
+    Returns: Effects.
+    """
+    if answer.status in NOT_RUN_STATUSES:
+        return refuse(state, stamp, active, _backend_failed(active))
+    return [
+        effects.Respond(active.request.id, answer),
+        *finish(state, stamp, active, outcome, answer.status),
+    ]
+
+
+def _backend_failed(
+    active: gateway_state.ActiveRequest,
+) -> errors.BackendFailed:
+    reason = active.last_failure or active.service
+    return errors.BackendFailed(reason, 'unknown', None)
+
+
 def refuse(
     state: gateway_state.State,
     stamp: events.Stamp,
