Promise 'not run' from proofs, not from what was counted as run

Callers could see 503 for a request whose attempt had been sent: an attempt that may have run was counted after it had been taken off the list, so that an exception in between (or any path that forgets the count) left a request that looked never sent and was refused at its deadline as not run.

Class: a promise made for want of evidence against it. Now an attempt counts from the moment it is sent, and only a server's refusal or a connection on which not a byte left takes it off (ActiveRequest.may_have_run). completion.refuse() asks that of every refusal with 408, 421, 429 or 503 and sends 502 where it is not so; the deadline gives 504. An attempt that ended as 'refused' or 'paused' counts as unsent only if it says so itself.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -252,9 +252,9 @@
     outputs += crash_containment.record_broken(
         state, stamp, active, attempt, event.reason
     )
-    if event.reason in UNCONNECTED:
-        return [*outputs, *_redispatch_unconnected(state, stamp, active)]
     if event.ran == 'no':
+        if event.reason in UNCONNECTED:
+            return [*outputs, *_redispatch_unconnected(state, stamp, active)]
         return [*outputs, *_retry_refused(state, stamp, active)]
     active.executions += 1
     if event.reason == 'reset' and not attempt.answered_ms:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/completion.py
@@ -30,8 +30,8 @@
       state: The gateway.
       stamp: Time and random seed.
       active: The request.
-      failure: Refusal to send if no server has run the request; None for
-        Overloaded.
+      failure: Refusal to send if no server may have run the request; None
+        for Overloaded.
     Returns: Effects; none while another attempt may still succeed.
     """
     if active.attempts_by_id:
@@ -39,8 +39,6 @@
     outputs = finish_with_available_answer(state, stamp, active)
     if outputs is not None:
         return outputs
-    if active.executions:
-        return refuse(state, stamp, active, _backend_failed(active))
     if failure is None:
         remaining_ms = active.deadline_ms - stamp.now_ms
         failure = errors.Overloaded(
@@ -113,7 +111,18 @@
     active: gateway_state.ActiveRequest,
     failure: Any,
 ) -> list[Any]:
-    """Ends a request with a refusal, one of ragwortgw_core.errors."""
+    """Ends a request with a refusal.
+
+    Args:
+      state: The gateway.
+      stamp: Time and random seed.
+      active: The request.
+      failure: One of ragwortgw_core.errors. One that would promise that the
+        request was not run is replaced unless all its attempts prove that.
+    Returns: Effects.
+    """
+    if active.may_have_run and failure.status in NOT_RUN_STATUSES:
+        failure = _backend_failed(active)
     if active.admitted:
         state.shares.record_unserved(
             active.service, active.classes, stamp.now_ms
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/dispatching.py
@@ -428,7 +428,7 @@
     pause_ms = _pause_ms(state, stamp, active)
     tried = active.attempts_made or active.connect_failures
     if pause_ms:
-        tried = active.executions
+        tried = active.may_have_run
     wait_ms = max(RETRY_MS, pause_ms)
     if has_servers and remaining_ms > RETRY_MS + wait_ms and tried:
         active.excluded_servers.clear()
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -234,6 +234,14 @@
         """Requests that wait like it at the backend servers."""
         return queue_waits.Queue(self.service, self.route.id, self.urgency)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt lacks a proof that it was and will not be run.
+
+        Only a refusal by the server, or that not a byte reached it, is one.
+        """
+        return self.attempts_sent > self.refusals + self.connect_failures
+
     @property
     def attempts_made(self) -> int:
         """Attempts that may have reached a server, finished or not."""
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/timeouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/timeouts.py
@@ -62,10 +62,10 @@
     outputs = completion.finish_with_available_answer(state, stamp, active)
     if outputs is not None:
         return outputs
-    if not active.executions and not active.attempts_by_id:
-        failure: Any = errors.Overloaded(admission.MIN_RETRY_MS)
+    if active.may_have_run:
+        failure: Any = errors.DeadlineExceeded(active.deadline_ms, 'unknown')
     else:
-        failure = errors.DeadlineExceeded(active.deadline_ms, 'unknown')
+        failure = errors.Overloaded(admission.MIN_RETRY_MS)
     return completion.refuse(state, stamp, active, failure)
 
 
