Take no head of an answer that holds a second status line

Callers could see 503 for a request that ran: a copy of a refusal, torn inside its head, and the answer that follows it make one head, with the status and the proof of the first and the id of the second.

Such a head is now no answer: the connection is closed and the attempt may have run.

--- a/packages/ragwortgw-server/ragwortgw_server/http_parsing.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_parsing.py
@@ -29,6 +29,8 @@
 #: Headers that decide where a message goes or ends; two of one kind could
 #: be read in two ways.
 _SINGLE_HEADERS = frozenset({b'host', b'content-length', b'transfer-encoding'})
+#: The begin of a response; in the midst of a head, that of another one.
+_STATUS = re.compile(rb'HTTP/1\.[01] [0-9]{3}[ \r]')
 _STATUS_LINE = re.compile(rb'(HTTP/1\.[01] [0-9]{3})(?: [^\r\n]*)?\r\n')
 
 
@@ -243,6 +245,8 @@
     problem = _check_lines(block)
     if problem is not None or status_line is None:
         return Failure(problem or BadMessage('invalid status line'))
+    if _STATUS.search(block, 1) is not None:
+        return Failure(BadMessage('second response inside a head'))
     rest = block[status_line.end() :].replace(b'\\', b'\\\\')
     parser = parsers.HttpParser(1)
     normal = status_line.group(1) + b' OK\r\n' + rest
--- a/packages/ragwortgw-server/tests/test_http_parsing.py
+++ b/packages/ragwortgw-server/tests/test_http_parsing.py
@@ -61,6 +61,23 @@
             head = http_parsing.parse_response_head(block).unwrap()
             self.assertEqual(203, head.status)
 
+    def test_torn_head_and_the_next_response_are_no_head(self):
+        head = (
+            b'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n'
+            b'Date: Sat, 05 Dec 2026 04:00:00 GMT\r\nA: b\r\n\r\n'
+        )
+        for cut in range(1, len(head)):
+            for following in (b'HTTP/1.1 200 OK', b'HTTP/1.0 200'):
+                block = head[:cut] + following + b'\r\nId: r\r\n\r\n'
+                with self.subTest(block):
+                    parsed = http_parsing.parse_response_head(block)
+                    self.assertNotIsInstance(parsed, Success)
+
+    def test_header_may_name_a_version_of_the_protocol(self):
+        block = b'HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\n\r\n'
+        head = http_parsing.parse_response_head(block).unwrap()
+        self.assertEqual('HTTP/1.1 proxy', head.headers['via'])
+
     @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
     @hypothesis.given(strategies.binary(max_size=200))
     def test_no_bytes_raise(self, data):
