Believe a refusal only if it names its request and is one

A caller could see 503 for a request that ran: a head with Not-Executed was taken for the refusal of the attempt though it named no request, and even with a status of success. Servers echo the id; a head without it may be anything.

Without the id a refusal is now a failure of the attempt, which may have run; a success that says that it was not run is no answer at all.

--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -488,5 +488,8 @@
     if head.request_id and head.request_id != call.request.id:
         return 'earlier'
     if head.proves_not_run or head.other_server:
-        return 'not-run'
+        if head.status < MIN_FAILURE_STATUS:
+            return 'garbled'
+        if head.request_id:
+            return 'not-run'
     return 'failed' if head.status >= MIN_FAILURE_STATUS else None
