Go on with a begun stream only with a stream

A resumable stream had broken off, and the next server answered with a status below 500 that is no stream; it was passed on as the final answer, which a begun answer ignores, and the request was forgotten.

Now any whole answer to a request whose stream has begun is a failed attempt: the stream goes on at another server while attempts are left, and is cut then. An answer below 500 does not count against its server. At the boundary a whole answer or a refusal to a begun stream cuts it and logs an error.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -189,7 +189,8 @@
             *completion.finish(state, stamp, active, 'answered', OK),
         ]
     if (
-        event.answer.status >= MIN_SERVER_ERROR
+        active.streaming
+        or event.answer.status >= MIN_SERVER_ERROR
         or event.answer.status in completion.NOT_RUN_STATUSES
     ):
         return _on_error_answer(state, stamp, active, attempt, event)
@@ -303,14 +304,18 @@
     attempt: gateway_state.Attempt,
     event: events.AttemptEnded,
 ) -> list[Any]:
-    """Handles an HTTP error status of a backend server."""
+    """Handles an HTTP error status of a backend server.
+
+    A begun stream can't go on with an answer that is none, whatever its
+    status.
+    """
     active.executions += 1
     active.fallback_answer = event.answer
     active.excluded_servers.add(attempt.server.id)
     active.set_failure(str(event.answer.status), f'by {attempt.server.id}')
     outputs: list[Any] = []
     timed_out = event.answer.status == GATEWAY_TIMEOUT
-    if not timed_out:
+    if event.answer.status >= MIN_SERVER_ERROR and not timed_out:
         outputs += record_server_failure(
             state, stamp, active, attempt, 'failed'
         )
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -499,6 +499,25 @@
             latency.interval_ms('small', self.driver.now_ms), 1.5 * before_ms
         )
 
+    def test_answer_that_is_no_stream_does_not_end_a_begun_one(self):
+        for status in (200, 204, 400, 404, 429):
+            with self.subTest(status):
+                driver = harness.GatewayDriver().start(
+                    servers=('s1', 's2', 's3')
+                )
+                first = driver.arrive('r1', 'draft')
+                driver.receive_answer_head(first, confidence=90)
+                driver.break_attempt(first, last_event=7)
+                second = driver.dispatched()
+                driver.finish_attempt(second, status)
+                third = driver.dispatched()
+                self.assertEqual(7, third.resume_after)
+                driver.finish_attempt(third, status)
+                self.assertEqual(1, len(driver.effects_of(effects.CutStream)))
+                self.assertEqual([], driver.effects_of(effects.Respond))
+                (ended,) = driver.logged_fields('request-ended')
+                self.assertEqual('stream-cut', ended['outcome'])
+
     def test_broken_stream_is_resumed_after_the_last_event(self):
         self.driver.receive_answer_head(self.first, confidence=90)
         self.driver.break_attempt(self.first, 'reset', 'unknown', last_event=7)
--- a/packages/ragwortgw-gateway/tests/test_refusal_proofs.py
+++ b/packages/ragwortgw-gateway/tests/test_refusal_proofs.py
@@ -42,7 +42,10 @@
     def test_failure_inside_the_gateway_is_no_proof(self):
         dispatch = self.gateway.arrive('r1', 'order')
         with mock.patch.object(
-            attempts, 'record_server_failure', side_effect=ArithmeticError
+            attempts,
+            'record_server_failure',
+            autospec=True,
+            side_effect=ArithmeticError,
         ):
             with self.assertRaises(ArithmeticError):
                 self.gateway.break_attempt(dispatch)
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_callers.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_callers.py
@@ -1,6 +1,7 @@
 """Callers of a gateway: their requests and the answers to them."""
 
 from collections.abc import Callable
+import logging
 from typing import Any
 
 from returns.result import Success
@@ -15,6 +16,8 @@
 from ragwortgw_server import http_exchange
 from ragwortgw_server import problems
 
+LOG = logging.getLogger(__name__)
+
 #: Headers of a problem that the deployment's own replace.
 REPLACED_HEADERS = frozenset({'retry-after'})
 
@@ -75,16 +78,16 @@
         return 0 if caller is None else caller.last_event
 
     def respond(self, effect: effects.Respond) -> None:
-        """Sends a whole answer."""
+        """Sends a whole answer; cuts one that has begun."""
         caller = self._callers_by_id.pop(effect.request_id, None)
-        if caller is not None:
+        if caller is not None and not _cut_begun(caller.exchange):
             answer = effect.answer
             caller.exchange.respond(answer.status, answer.headers, answer.body)
 
     def refuse(self, request_id: str, failure: Any) -> None:
-        """Sends a typed failure."""
+        """Sends a typed failure; cuts an answer that has begun."""
         caller = self._callers_by_id.pop(request_id, None)
-        if caller is not None:
+        if caller is not None and not _cut_begun(caller.exchange):
             self._refuse(caller.exchange, request_id, failure)
 
     def begin_stream(self, request_id: str, head: requests.AnswerHead) -> None:
@@ -141,3 +144,12 @@
         ]
         own = self._protocol.refusal_headers(request_id, retry_after_ms)
         exchange.respond(status, [*kept, *own], body)
+
+
+def _cut_begun(exchange: http_exchange.Exchange) -> bool:
+    """Cuts an answer that has begun; returns whether there was one."""
+    if exchange.state != 'streaming':
+        return False
+    LOG.error('a second answer to a request whose stream has begun')
+    exchange.abort()
+    return True
