Entries: end a begun stream with the failure of its last attempt

Callers of an entry saw a stream end as if it were whole: it broke off, was resumed, and the resumed attempt ended with an error status, for which the entry finished the relay.

Now the failure ends it as an event of its own, as for every other failure of a begun stream, with 'ran' yes. The test failed before for 400 and 500.

--- a/packages/ragwortgw-core/ragwortgw_core/entry_delivery.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry_delivery.py
@@ -8,11 +8,13 @@
 from ragwortgw_core import entry_dispatch
 from ragwortgw_core import entry_selection
 from ragwortgw_core import entry_state
+from ragwortgw_core import errors
 from ragwortgw_core import events
 from ragwortgw_core import notices
 from ragwortgw_core import requests
 
 
+OK = 200
 SERVER_ERROR = 500
 #: Number of possible values of a stamp's random seed.
 SEED_RANGE = 1 << 64
@@ -174,13 +176,19 @@
 def answer_caller(
     active: entry_state.ActiveRequest, answer: requests.Answer
 ) -> list[Any]:
-    """Sends a complete answer, or ends the stream that relayed it."""
+    """Sends a complete answer, or ends the stream that relayed it.
+
+    A stream whose resumed attempt failed ends with the failure.
+    """
+    headers = headers_of(active)
+    if active.relaying and answer.status != OK:
+        failure = errors.BackendFailed(active.backend, 'yes', None)
+        return [effects.Refuse(active.request.id, failure, headers)]
     if active.relaying:
         return [effects.FinishRelay(active.request.id)]
-    headers = headers_of(active)
     body = answer.body
     content_type = answer.content_type
-    if active.request.stream and answer.status == 200:
+    if active.request.stream and answer.status == OK:
         body = completion_stream.to_event_stream(answer.body)
         content_type = 'text/event-stream'
     return [
--- a/packages/ragwortgw-core/tests/test_entry_delivery.py
+++ b/packages/ragwortgw-core/tests/test_entry_delivery.py
@@ -38,7 +38,9 @@
 )
 
 
-class RanTest(unittest.TestCase):
+class EntryCase(unittest.TestCase):
+    """An entry with one attempt in progress."""
+
     def setUp(self):
         self.state = entry.new_entry('e', 'e-x', 'z', 'r', entry.Options())
         self.active = entry_state.ActiveRequest(
@@ -55,6 +57,8 @@
         self.state.requests_by_id['e-1'] = self.active
         self.state.request_ids_by_attempt['e-1.1'] = 'e-1'
 
+
+class RanTest(EntryCase):
     def problem_after(self, event):
         _, emitted = entry.REDUCER.reduce(self.state, STAMP, event)
         refusals = [e for e in emitted if isinstance(e, effects.Refuse)]
@@ -82,3 +86,37 @@
         problem = errors.problem(refused.failure)
         self.assertEqual('yes', problem['ran'])
         self.assertEqual(250, problem['retry_after_ms'])
+
+
+class BegunStreamTest(EntryCase):
+    def finish(self, status):
+        """Ends the attempt of a begun stream; returns what ends the stream."""
+        self.active.relaying = True
+        answer = requests.Answer(
+            status,
+            'application/json',
+            b'{}',
+            documents.Usage(input_tokens=1, output_tokens=1, cached_tokens=0),
+        )
+        _, emitted = entry.REDUCER.reduce(
+            self.state, STAMP, events.AttemptFinished('e-1.1', answer)
+        )
+        return [
+            each
+            for each in emitted
+            if isinstance(
+                each, effects.Refuse | effects.FinishRelay | effects.Respond
+            )
+        ]
+
+    def test_failure_does_not_end_it_as_if_it_were_whole(self):
+        for status in (400, 500):
+            with self.subTest(status):
+                self.setUp()
+                (end,) = self.finish(status)
+                self.assertIsInstance(end, effects.Refuse)
+                self.assertEqual('yes', errors.problem(end.failure)['ran'])
+
+    def test_success_ends_it(self):
+        (end,) = self.finish(200)
+        self.assertIsInstance(end, effects.FinishRelay)
