Read any entry of another writer without losing the others

Cause: msgspec raises RecursionError on deep nesting, which is none of its own errors. It ended the handler of the list after its values counted as known, so that no server was registered and nothing applied them again. Numbers beyond 64 bits were read, and then no digest could be encoded any more; a port out of range ended an attempt as one that may have run; an id with a line end went into a header. Class: a value from outside raises, or is believed, beyond the boundary.

Change: decoding.from_json() and from_msgpack() raise Undecodable and nothing else; all readers of the store's values, of messages of peers, engines, operators and callers use them. Entries of servers must have an address of IPv4 and a port (addresses.parse(), also where connections are opened and datagrams sent), slots and a start within bounds, and an id that fits into a header. A value that the store hands out with broken base64 hides no others.

--- a/packages/ragwortgw-core/ragwortgw_core/completion_stream.py
+++ b/packages/ragwortgw-core/ragwortgw_core/completion_stream.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ragwortgw_core import decoding
+
 DONE = b'data: [DONE]\n\n'
 
 
@@ -21,8 +23,8 @@
       is returned unchanged.
     """
     try:
-        completion = msgspec.json.decode(body)
-    except msgspec.DecodeError:
+        completion = decoding.from_json(body)
+    except decoding.Undecodable:
         return body
     if not isinstance(completion, dict) or 'choices' not in completion:
         return body
--- a/packages/ragwortgw-core/ragwortgw_core/configuration.py
+++ b/packages/ragwortgw-core/ragwortgw_core/configuration.py
@@ -9,11 +9,11 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple, TypeVar, cast
 
-import msgspec
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
 
+from ragwortgw_core import decoding
 from ragwortgw_core import documents
 from ragwortgw_core import errors
 
@@ -212,8 +212,8 @@
     path: str, value: bytes, kind: Any
 ) -> Result[Any, errors.InvalidObject]:
     try:
-        return Success(msgspec.json.decode(value, type=kind))
-    except msgspec.MsgspecError as exc:
+        return Success(decoding.from_json(value, kind))
+    except decoding.Undecodable as exc:
         reason, _, where = str(exc).partition(' - at `$')
         where = where.rstrip('`')
         return Failure(errors.InvalidObject(path + where, reason))
--- a/packages/ragwortgw-core/ragwortgw_core/grants.py
+++ b/packages/ragwortgw-core/ragwortgw_core/grants.py
@@ -13,6 +13,7 @@
 import msgspec
 import xxhash
 
+from ragwortgw_core import decoding
 from ragwortgw_core import effects
 from ragwortgw_core import events
 from ragwortgw_core import ids
@@ -135,8 +136,8 @@
 
     def _store_holders(self, interval: int, value: bytes) -> list[Any]:
         try:
-            content = msgspec.msgpack.decode(value, type=Content)
-        except msgspec.MsgspecError:
+            content = decoding.from_msgpack(value, Content)
+        except decoding.Undecodable:
             return [effects.Count('grants_damaged', ())]
         self._holders_by_interval[interval] = content['holders']
         self._retry_at_ms_by_interval.pop(interval, None)
--- a/packages/ragwortgw-core/ragwortgw_core/head_difference.py
+++ b/packages/ragwortgw-core/ragwortgw_core/head_difference.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from ragwortgw_core import decoding
 from ragwortgw_core import documents
 
 
@@ -64,8 +65,8 @@
     Returns: The new head value; None if it differs from the sender's.
     """
     try:
-        difference = msgspec.json.decode(encoded, type=Difference)
-    except msgspec.MsgspecError:
+        difference = decoding.from_json(encoded, Difference)
+    except decoding.Undecodable:
         return None
     kept = [
         command
--- a/packages/ragwortgw-core/ragwortgw_core/page_codec.py
+++ b/packages/ragwortgw-core/ragwortgw_core/page_codec.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ragwortgw_core import decoding
 from ragwortgw_core import events
 from ragwortgw_core import group_commit
 
@@ -34,8 +35,8 @@
         if not value:
             return self._new_content()
         try:
-            return msgspec.msgpack.decode(value, type=self._content_type)
-        except msgspec.MsgspecError:
+            return decoding.from_msgpack(value, self._content_type)
+        except decoding.Undecodable:
             return None
 
     def encode(self, content: Any) -> bytes:
--- a/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_formats.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/gateway_formats.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ragwortgw_core import decoding
 from ragwortgw_core import platform
 from ragwortgw_gateway import documents
 
@@ -50,8 +51,8 @@
 
 def _read(found: platform.Found, kind: type[Document]) -> Document | None:
     try:
-        return msgspec.json.decode(found.value, type=kind)
-    except msgspec.MsgspecError:
+        return decoding.from_json(found.value, kind)
+    except decoding.Undecodable:
         return None
 
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/digests.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ragwortgw_core import decoding
 from ragwortgw_core import platform
 from ragwortgw_gateway import requests
 
@@ -295,6 +296,6 @@
     if message_type is None:
         return None
     try:
-        return msgspec.msgpack.decode(memoryview(data)[1:], type=message_type)
-    except msgspec.MsgspecError:
+        return decoding.from_msgpack(memoryview(data)[1:], message_type)
+    except decoding.Undecodable:
         return None
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/quarantine.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/quarantine.py
@@ -11,6 +11,7 @@
 import msgspec
 import xxhash
 
+from ragwortgw_core import decoding
 from ragwortgw_core import effects as core_effects
 from ragwortgw_core import events
 from ragwortgw_core import platform
@@ -131,8 +132,8 @@
         Returns: The block if it was not in quarantine before, '' otherwise.
         """
         try:
-            entry = msgspec.json.decode(found.value, type=Entry)
-        except msgspec.MsgspecError:
+            entry = decoding.from_json(found.value, Entry)
+        except decoding.Undecodable:
             return ''
         if found.key != self._key(entry.block):
             return ''
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/rollouts.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from ragwortgw_core import decoding
 from ragwortgw_core import effects as core_effects
 from ragwortgw_core import events
 from ragwortgw_core import platform
@@ -324,8 +325,8 @@
           that of the current order.
         """
         try:
-            step = msgspec.json.decode(entry.value, type=Step)
-        except msgspec.MsgspecError:
+            step = decoding.from_json(entry.value, Step)
+        except decoding.Undecodable:
             return None
         service = entry.key.rpartition('/')[2]
         track = self.tracks_by_service.get(service)
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/store_changes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_changes.py
@@ -13,8 +13,9 @@
 
 from typing import Any
 
-import msgspec
 
+from ragwortgw_core import addresses
+from ragwortgw_core import decoding
 from ragwortgw_core import effects as core_effects
 from ragwortgw_core import events as core_events
 from ragwortgw_core import platform
@@ -352,12 +353,13 @@
 def _read_address(entry: platform.Found) -> str:
     """Returns the address in a gateway's entry, '' if it has none."""
     try:
-        value = msgspec.json.decode(entry.value)
-    except msgspec.MsgspecError:
+        value = decoding.from_json(entry.value)
+    except decoding.Undecodable:
         return ''
     if not isinstance(value, dict):
         return ''
-    return str(value.get('address', ''))
+    address = str(value.get('address', ''))
+    return address if addresses.parse(address) is not None else ''
 
 
 def _record_unreadable(entry: platform.Found) -> core_effects.Record:
--- a/packages/ragwortgw-server/ragwortgw_server/admin_api.py
+++ b/packages/ragwortgw-server/ragwortgw_server/admin_api.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ragwortgw_core import decoding
 from ragwortgw_core import effects
 from ragwortgw_core import errors
 from ragwortgw_core import events
@@ -48,8 +49,8 @@
             exchange.refuse(errors.MethodNotAllowed(exchange.method))
             return
         try:
-            body = msgspec.json.decode(exchange.body, type=CommandBody)
-        except msgspec.MsgspecError as error:
+            body = decoding.from_json(exchange.body, CommandBody)
+        except decoding.Undecodable as error:
             exchange.refuse(errors.MalformedRequest(str(error)))
             return
         command_id = body.get('command_id', '')
--- a/packages/ragwortgw-server/ragwortgw_server/connections.py
+++ b/packages/ragwortgw-server/ragwortgw_server/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import errno
 import logging
 import socket
 import ssl
@@ -11,6 +12,7 @@
 from circuits.core import components
 from circuits.core import handlers
 
+from ragwortgw_core import addresses
 from ragwortgw_server import loop as loops
 
 LOG = logging.getLogger(__name__)
@@ -310,15 +312,19 @@
         Raises:
           OSError: The peer can not be reached.
         """
-        host, _, port = address.rpartition(':')
+        parsed = addresses.parse(address)
+        if parsed is None:
+            raise OSError(errno.EINVAL, 'no address', address)
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
-            await self._asyncio_loop.sock_connect(sock, (host, int(port)))
+            await self._asyncio_loop.sock_connect(sock, parsed)
         except BaseException:
             sock.close()
             raise
-        return self.adopt(sock, tls, server_side=False, server_hostname=host)
+        return self.adopt(
+            sock, tls, server_side=False, server_hostname=parsed.host
+        )
 
     def call_soon(self, callback: Callable[[], None]) -> None:
         """Calls back after the present handler is done."""
--- a/packages/ragwortgw-server/ragwortgw_server/engine_documents.py
+++ b/packages/ragwortgw-server/ragwortgw_server/engine_documents.py
@@ -2,7 +2,8 @@
 
 from typing import Any, TypedDict, TypeVar
 
-import msgspec
+
+from ragwortgw_core import decoding
 
 Document = TypeVar('Document')
 
@@ -102,6 +103,6 @@
     Returns: The document; None if the data does not have this shape.
     """
     try:
-        return msgspec.json.decode(data, type=shape)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decoding.from_json(data, shape)
+    except decoding.Undecodable:
         return None
--- a/packages/ragwortgw-server/ragwortgw_server/engine_requests.py
+++ b/packages/ragwortgw-server/ragwortgw_server/engine_requests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ragwortgw_core import decoding
 from ragwortgw_core import requests
 
 
@@ -41,8 +42,8 @@
     Returns: The body; None if the caller's is no JSON object.
     """
     try:
-        body = msgspec.json.decode(dispatch.body)
-    except msgspec.DecodeError:
+        body = decoding.from_json(dispatch.body)
+    except decoding.Undecodable:
         return None
     if not isinstance(body, dict):
         return None
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_peers.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_peers.py
@@ -10,6 +10,8 @@
 import msgspec
 from returns.result import Success
 
+from ragwortgw_core import addresses
+from ragwortgw_core import decoding
 from ragwortgw_core import errors
 from ragwortgw_gateway import digests
 from ragwortgw_gateway import events
@@ -89,7 +91,7 @@
 
     def send(
         self,
-        addresses: tuple[str, ...],
+        receivers: tuple[str, ...],
         message: digests.Message,
     ) -> None:
         """Sends a datagram; what is lost, the next digest tells again."""
@@ -99,9 +101,12 @@
         if len(data) > MAX_DATAGRAM_BYTES:
             LOG.warning('datagram of %d bytes is not sent', len(data))
             return
-        for address in addresses:
-            host, _, port = address.rpartition(':')
-            self._transport.sendto(data, (host, int(port)))
+        for address in receivers:
+            parsed = addresses.parse(address)
+            if parsed is None:
+                LOG.warning('%.60s is no address of a gateway', address)
+            else:
+                self._transport.sendto(data, parsed)
 
     def handle(self, exchange: http_exchange.Exchange) -> None:
         """Answers another gateway that asks for beliefs."""
@@ -157,8 +162,8 @@
             data = zlib.decompressobj().decompress(
                 result.unwrap().body, MAX_BELIEFS_BYTES
             )
-            return msgspec.msgpack.decode(data, type=digests.StoreView)
-        except (zlib.error, msgspec.MsgspecError):
+            return decoding.from_msgpack(data, digests.StoreView)
+        except (zlib.error, decoding.Undecodable):
             LOG.warning('gateway at %s sent no beliefs', address)
             return None
 
--- a/packages/ragwortgw-server/ragwortgw_server/platform_client.py
+++ b/packages/ragwortgw-server/ragwortgw_server/platform_client.py
@@ -13,6 +13,7 @@
 import msgspec
 from returns.result import Success
 
+from ragwortgw_core import decoding
 from ragwortgw_core import platform
 from ragwortgw_server import clock
 from ragwortgw_server import http_client
@@ -306,7 +307,7 @@
         return platform.Unavailable(is_write and not refused)
     try:
         epoch = int(response.headers.get(EPOCH_HEADER, '0'))
-        document = msgspec.json.decode(response.body, type=dict)
+        document = decoding.from_json(response.body, dict)
         return kind.decode(
             call, _Answer(response.status, document, sent_ms, epoch)
         )
--- a/packages/ragwortgw-server/tests/test_gateway_peers.py
+++ b/packages/ragwortgw-server/tests/test_gateway_peers.py
@@ -2,6 +2,7 @@
 
 import types
 import unittest
+from unittest import mock
 import zlib
 
 from returns.result import Failure
@@ -77,6 +78,17 @@
         self.assertEqual('deflate', answer.headers['Content-Encoding'])
         self.assertLess(len(answer.body), len(ROUTES) / 10)
 
+    async def test_address_that_is_none_keeps_no_peer_from_the_message(self):
+        await self.peers.listen('127.0.0.1:0')
+        self.addCleanup(self.peers.close)
+        transport = mock.Mock()
+        with mock.patch.object(self.peers, '_transport', transport):
+            self.peers.send(
+                ('edge-2:1', '127.0.0.1:99999', '127.0.0.1:9'),
+                digests.CrashReport('edge-1', (), (), ()),
+            )
+        transport.sendto.assert_called_once_with(mock.ANY, ('127.0.0.1', 9))
+
     async def test_many_that_ask_alike_get_one_answer(self):
         self.assertIs(self.ask().body, self.ask().body)
         self.assertEqual(self.ask(5).body, self.ask(4).body)
--- a/packages/ragwortgw-server/tests/test_refusal_proofs.py
+++ b/packages/ragwortgw-server/tests/test_refusal_proofs.py
@@ -74,3 +74,15 @@
         (ended,) = self.play(torn + ANSWER)
         self.assertIsInstance(ended, events.AttemptBroke)
         self.assertEqual('unknown', ended.ran)
+
+    def test_attempt_at_an_address_that_is_none_was_not_run(self):
+        for address in ('127.0.0.1:99999', f'{"x" * 300}:80', ':80'):
+            self.events.clear()
+
+            async def scenario():
+                self.dispatch(address)
+                await support.until(self.ended)
+
+            self.run_on_loop(scenario())
+            (broke,) = self.events
+            self.assertEqual(('refused', 'no'), (broke.reason, broke.ran))
--- a/packages/ragwortgw-wire/ragwortgw_wire/convert.py
+++ b/packages/ragwortgw-wire/ragwortgw_wire/convert.py
@@ -7,6 +7,7 @@
 from returns import result as results
 from returns.result import Result
 
+from ragwortgw_core import decoding
 from ragwortgw_core import documents
 from ragwortgw_core import errors
 from ragwortgw_core import platform
@@ -253,10 +254,10 @@
     if cls is None:
         return errors.UnknownRefusal(slug)
     try:
-        fields = msgspec.json.decode(encoded, type=dict[str, Any])
+        fields = decoding.from_json(encoded, dict[str, Any])
         values = [fields[name] for name in cls._fields]
         return msgspec.convert(values, cls)
-    except (KeyError, msgspec.ValidationError, msgspec.DecodeError):
+    except (KeyError, msgspec.ValidationError, decoding.Undecodable):
         return errors.UnknownRefusal(slug)
 
 
