Hold the grammar of HTTP strictly

A tab between path and version let header lines, or by Transfer-Encoding a whole second request, through as part of the path.

Cause: the start line was split by one reader at any white space, and the target that is sent on was cut out of the raw head by another at the next space. Class: two readers of the same bytes see different messages.

Change: a start line has one space each, a target and values without control bytes, on every listening port and in answers; method, target and version are those that were checked. Chunks in HTTP/1.0 are refused.

--- a/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
@@ -383,7 +383,11 @@
         """Counts a request that was refused before it was whole."""
         labels = (('failure', failure.slug),)
         self.metrics.count(core_effects.Count('http_refused', labels))
-        fields = {'failure': failure.slug, 'status': failure.status}
+        fields = {
+            'failure': failure.slug,
+            'status': failure.status,
+            'reason': getattr(failure, 'reason', ''),
+        }
         self.record(core_effects.Record('request-malformed', fields))
 
 
--- a/packages/ragwortgw-server/ragwortgw_server/http_channel.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_channel.py
@@ -133,7 +133,7 @@
         self._timer = asyncio.get_running_loop().call_later(
             left_ms / 1000, self._on_deadline
         )
-        self.connection.write(_encode(call))
+        self.connection.write(encode(call))
         if self.connection.closed:
             self._fail('reset')
 
@@ -280,7 +280,7 @@
         self._wake()
 
 
-def _encode(call: Call) -> bytes:
+def encode(call: Call) -> bytes:
     host = call.host or call.address
     lines = [f'{call.method} {call.path} HTTP/1.1', f'Host: {host}']
     if call.body or call.method in ('POST', 'PUT', 'PATCH'):
--- a/packages/ragwortgw-server/ragwortgw_server/http_parsing.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_parsing.py
@@ -1,10 +1,11 @@
 """Heads and bodies of HTTP/1.1 messages, on circuits' parser.
 
-circuits.web.parsers.HttpParser reads the heads. It decodes backslash
-escapes in them, so that a header could gain a line end: backslashes are
-doubled first. Its chunk reader fails when a read ends between a chunk and
-the chunk's line end, and drops what follows the last chunk: bodies are
-read here.
+circuits.web.parsers.HttpParser reads the heads, once they keep to the grammar
+of RFC 9112: it takes any white space for a separator, so that it and a strict
+reader could see different messages. It decodes backslash escapes, so that a
+header could gain a line end: backslashes are doubled first. Its chunk reader
+fails when a read ends between a chunk and the chunk's line end, and drops what
+follows the last chunk: bodies are read here.
 """
 
 import re
@@ -22,8 +23,10 @@
 #: let a sender of tiny chunks take up the processor.
 SPARE_FRAMING_BYTES = 4096
 
-_METHOD = re.compile(r'[A-Z]{1,20}\Z')
-_HEADER = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00\r\n]*\Z")
+_REQUEST_LINE = re.compile(
+    rb'(?P<method>[A-Z]{1,20}) (?P<target>[!-~]+) HTTP/1\.(?P<minor>[01])\r\n'
+)
+_HEADER = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\x80-\xff]*\Z")
 _DIGITS = re.compile(r'[0-9]{1,15}\Z')
 _CHUNK_SIZE = re.compile(rb'[0-9A-Fa-f]{1,8}\Z')
 #: Headers that decide where a message goes or ends; two of one kind could
@@ -31,7 +34,9 @@
 _SINGLE_HEADERS = frozenset({b'host', b'content-length', b'transfer-encoding'})
 #: The begin of a response; in the midst of a head, that of another one.
 _STATUS = re.compile(rb'HTTP/1\.[01] [0-9]{3}[ \r]')
-_STATUS_LINE = re.compile(rb'(HTTP/1\.[01] [0-9]{3})(?: [^\r\n]*)?\r\n')
+_STATUS_LINE = re.compile(
+    rb'(HTTP/1\.[01] [0-9]{3})(?: [\t -~\x80-\xff]*)?\r\n'
+)
 
 
 class BadMessage(NamedTuple):
@@ -203,6 +208,9 @@
       block: Start line and headers, with the empty line that ends them.
     Returns: The head, or why it is not valid.
     """
+    request_line = _REQUEST_LINE.match(block)
+    if request_line is None:
+        return Failure(BadMessage('invalid request line'))
     problem = _check_lines(block)
     if problem is not None:
         return Failure(problem)
@@ -210,25 +218,22 @@
     try:
         parser.execute(block.replace(b'\\', b'\\\\'), len(block))
     except ValueError:
-        return Failure(BadMessage('invalid request line'))
+        return Failure(BadMessage('invalid request target'))
     if parser.errno is not None or not parser.is_headers_complete():
-        return Failure(BadMessage('invalid request line or header'))
-    if _METHOD.match(parser.get_method()) is None:
-        return Failure(BadMessage('invalid method'))
-    if parser.get_version() not in ((1, 0), (1, 1)):
-        return Failure(BadMessage('HTTP version not supported'))
+        return Failure(BadMessage('invalid request target or header'))
     headers = _headers(parser)
-    if parser.get_version() == (1, 1) and 'host' not in headers:
+    http_1_0 = request_line['minor'] == b'0'
+    if not http_1_0 and 'host' not in headers:
         return Failure(BadMessage('no Host header'))
     return Success(
         RequestHead(
-            method=parser.get_method(),
+            method=request_line['method'].decode('ascii'),
             path=parser.get_path() or '/',
             query=parser.get_query_string(),
             headers=headers,
             keep_alive=_keep_alive(parser.get_version(), headers),
-            http_1_0=parser.get_version() == (1, 0),
-            target=block.split(b' ', 2)[1].decode('latin-1'),
+            http_1_0=http_1_0,
+            target=request_line['target'].decode('ascii'),
             lines=_lines(block),
         )
     )
@@ -271,6 +276,8 @@
       head: The head of the request.
     Returns: The reader of the body, or why the framing is not valid.
     """
+    if head.http_1_0 and 'transfer-encoding' in head.headers:
+        return Failure(BadMessage('transfer encoding in HTTP/1.0'))
     return _framed_body(head.headers, LengthBody(0))
 
 
@@ -307,8 +314,6 @@
 
 def _check_lines(block: bytes) -> BadMessage | None:
     lines = block[: -len(HEAD_END)].split(b'\r\n')
-    if b'\r' in lines[0] or b'\n' in lines[0] or b'\x00' in lines[0]:
-        return BadMessage('control character in start line')
     if len(lines) > MAX_HEADER_LINES + 1:
         return BadMessage('too many header lines')
     framing: set[bytes] = set()
--- a/packages/ragwortgw-server/tests/test_http_parsing.py
+++ b/packages/ragwortgw-server/tests/test_http_parsing.py
@@ -21,6 +21,26 @@
     'nul': b'GET / HTTP/1.1\r\nHost: x\x00\r\n\r\n',
     'bad address': b'GET http://[x/ HTTP/1.1\r\nHost: x\r\n\r\n',
     'empty': b'\r\n\r\n',
+    'two spaces': b'GET  / HTTP/1.1\r\nHost: x\r\n\r\n',
+    'space at the end': b'GET / HTTP/1.1 \r\nHost: x\r\n\r\n',
+    'space at the begin': b' GET / HTTP/1.1\r\nHost: x\r\n\r\n',
+    'fragment': b'GET /#x HTTP/1.1\r\nHost: x\r\n\r\n',
+    'no name': b'GET / HTTP/1.1\r\nHost: x\r\n: y\r\n\r\n',
+    'no colon': b'GET / HTTP/1.1\r\nHost: x\r\nA\r\n\r\n',
+    **{
+        f'byte {byte:#x} in the {place}': block.replace(b'@', bytes([byte]))
+        for byte in (*range(0x09), *range(0x0A, 0x20), 0x7F)
+        for place, block in (
+            ('target', b'GET /a@b HTTP/1.1\r\nHost: x\r\n\r\n'),
+            ('value', b'GET / HTTP/1.1\r\nHost: x\r\nA: b@c\r\n\r\n'),
+        )
+    },
+    **{
+        f'byte {byte:#x} before the version': b'GET /'
+        + bytes([byte])
+        + b'HTTP/1.1\r\nA:b\r\nHost: x\r\nX: a b\r\n\r\n'
+        for byte in (0x09, 0x0B, 0x0C, *range(0x1C, 0x20), 0x85, 0xA0)
+    },
     'many headers': b'GET / HTTP/1.1\r\nHost: x' + b'\r\nA: b' * 999 + END,
 }
 
@@ -40,6 +60,37 @@
                 parsed = http_parsing.parse_request_head(block)
                 self.assertNotIsInstance(parsed, Success)
 
+    def test_bad_heads_of_responses_are_refused(self):
+        for block in (
+            b'HTTP/1.1  200 OK\r\n\r\n',
+            b'HTTP/1.1\t200 OK\r\n\r\n',
+            b'HTTP/1.1 200 O\x0bK\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nA: b\x0cc\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nA : b\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n',
+            b'HTTP/2.0 200 OK\r\n\r\n',
+        ):
+            with self.subTest(block):
+                parsed = http_parsing.parse_response_head(block)
+                self.assertNotIsInstance(parsed, Success)
+
+    def test_target_and_lines_are_what_was_checked(self):
+        block = (
+            b'POST /a%09b?c=d\\e HTTP/1.1\r\nHost: x\r\n'
+            b'A:\t b \xe9 \r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        head = http_parsing.parse_request_head(block).unwrap()
+        self.assertEqual('/a%09b?c=d\\e', head.target)
+        self.assertIn(('A', 'b \xe9'), head.lines)
+
+    def test_chunks_need_the_version_that_has_them(self):
+        block = (
+            b'POST / HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        head = http_parsing.parse_request_head(block).unwrap()
+        framed = http_parsing.request_body(head)
+        self.assertNotIsInstance(framed, Success)
+
     def test_bad_framing_is_refused(self):
         for name, headers in BAD_FRAMES.items():
             head = http_parsing.RequestHead(
