Take no success without the server's id and seal

A server sent bytes that belong to no request in place of an answer, without Attempt-Id and Server-Seal; on a connection that had carried nothing else the gateway took them for the answer.

Class: an answer is believed because of where it stands. backend_calls._judge is the one place that says what a head is to an attempt: an answer names the request, also on a new connection and whatever its status, unless the caller gave it no id that a server could echo; a success is sealed, or it is no answer. What is no answer may have run, and is repeated only where that is allowed.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/requests.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/requests.py
@@ -74,6 +74,8 @@
       received_ms: When the request was complete.
       deadline_ms: When the caller stops waiting.
       fingerprint: Hash of path, key and body.
+      names_itself: Whether its id is the caller's, which servers echo; one
+        that the gateway made up is not sent.
     """
 
     id: str
@@ -91,6 +93,7 @@
     received_ms: int
     deadline_ms: int
     fingerprint: int
+    names_itself: bool = True
 
 
 class Dispatch(NamedTuple):
@@ -150,6 +153,7 @@
       malformed_pause: What the server sent instead of a time, '' if nothing.
       limit_per_s: Requests a second that the server takes from all gateways
         together, None for no limit.
+      sealed: Whether the server vouches for it, as for each success.
     """
 
     status: int
@@ -164,6 +168,7 @@
     pause_ms: int = 0
     malformed_pause: str = ''
     limit_per_s: float | None = None
+    sealed: bool = True
 
 
 class Answer(NamedTuple):
--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -477,19 +477,25 @@
 ) -> events.Verdict | None:
     """Decides what the head of an answer is to an attempt.
 
+    Bytes that a server never meant for the attempt can come in its place,
+    also on a new connection: an answer names the request, unless the server
+    was not told its id, and a success is sealed.
+
     Args:
       call: The attempt.
       channel: The connection that it came on.
       head: The head.
     Returns: The verdict, None for an answer that is no failure.
     """
-    if not head.request_id and channel.uses > 1:
-        return 'garbled'
-    if head.request_id and head.request_id != call.request.id:
+    request = call.request
+    if head.request_id and head.request_id != request.id:
         return 'earlier'
-    if head.proves_not_run or head.other_server:
-        if head.status < MIN_FAILURE_STATUS:
-            return 'garbled'
-        if head.request_id:
-            return 'not-run'
-    return 'failed' if head.status >= MIN_FAILURE_STATUS else None
+    if not head.request_id and (request.names_itself or channel.uses > 1):
+        return 'garbled'
+    failed = head.status >= MIN_FAILURE_STATUS
+    refused = head.proves_not_run or head.other_server
+    if not failed and (refused or not head.sealed):
+        return 'garbled'
+    if refused and head.request_id:
+        return 'not-run'
+    return 'failed' if failed else None
--- a/packages/ragwortgw-server/tests/test_backend_calls.py
+++ b/packages/ragwortgw-server/tests/test_backend_calls.py
@@ -194,15 +194,57 @@
             )
             self.calls.pool.discard.assert_called_with('s', channel)
 
-    async def test_refusal_without_an_id_is_taken_but_proves_nothing(self):
-        await self.answer(request_id='')
-        self.assertEqual(
-            [
-                events.AttemptAnswered('r.1', mock.ANY),
-                events.AttemptEnded('r.1', requests.Answer(503, (), b''), 0),
-            ],
-            self.events,
+    async def judge(self, names_itself=True, **fields):
+        """Returns the last event of an attempt that gets this head."""
+        self.events.clear()
+        request = mock.Mock(id='r', names_itself=names_itself)
+        self.callers.request.return_value = request
+        self.protocol.read_head.return_value = requests.AnswerHead(
+            200, (), 'r', False, False, None, None, False
+        )._replace(**fields)
+        self.calls.pool.kept.return_value = ScriptedChannel([])
+        self.dispatch('r.1')
+        final = (
+            events.AttemptBroke,
+            events.AttemptEnded,
+            events.AttemptRefused,
         )
+        async with asyncio.timeout(LIMIT_S):
+            while not (self.events and isinstance(self.events[-1], final)):
+                await asyncio.sleep(0)
+        return self.events[-1]
+
+    async def test_answers_that_lack_what_servers_add_are_none(self):
+        for fields in (
+            {'request_id': ''},
+            {'request_id': '', 'status': 500},
+            {'request_id': '', 'status': 503, 'proves_not_run': True},
+            {'request_id': '', 'status': 421, 'other_server': True},
+            {'sealed': False},
+            {'sealed': False, 'request_id': ''},
+            {'sealed': False, 'status': 204},
+            {'proves_not_run': True},
+        ):
+            with self.subTest(fields):
+                self.assertEqual(
+                    events.AttemptBroke('r.1', 'garbled', 'unknown', 0),
+                    await self.judge(**fields),
+                )
+
+    async def test_answers_of_sound_servers_are_passed_on(self):
+        for fields in (
+            {},
+            {'status': 201},
+            {'status': 404, 'sealed': False},
+            {'status': 500, 'sealed': False},
+            {'status': 400, 'request_id': '', 'names_itself': False},
+        ):
+            with self.subTest(fields):
+                ended = await self.judge(**fields)
+                self.assertIsInstance(ended, events.AttemptEnded)
+                self.assertEqual(
+                    fields.get('status', 200), ended.answer.status
+                )
 
     async def test_failures_are_reported_with_their_connection(self):
         for verdict, fields in (
