Plan a stop as one state machine that ends in a quiet turn

The end was decided once when no request was in progress; the process then waited up to 2 s for closed connections, in which a body that had been on its way became whole, was accepted and dispatched, and was cut.

Class: a condition looked at once, acted on later. stopping.PlannedStop has the phases accepting, draining, flushing and ended with stored deadlines. It leaves draining only in a turn in which no request is in progress and none is being read, and takes the listener and idle connections away in that same turn; it ends in a turn in which callers have taken all, or at its deadline. The process tells it before each tick what its connections do. Entries wait in the same way (HttpServer.wait_flushed looks at all three conditions in one turn). Agents take no attempts once they leave, and were not changed.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
@@ -114,6 +114,10 @@
     """Closes callers' idle connections."""
 
 
+class CloseListener(NamedTuple):
+    """Stops listening for callers, and closes all but unread answers."""
+
+
 class Abandon(NamedTuple):
     """Aborts an attempt that timed out; AttemptBroke follows.
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/events.py
@@ -193,6 +193,19 @@
     address: str
 
 
+class CallersObserved(NamedTuple):
+    """What callers' connections are doing at this turn of the loop.
+
+    Args:
+      reading: Connections on which a request has arrived in part.
+      unflushed: Connections whose caller has not taken all bytes, or not
+        noticed that they are closed.
+    """
+
+    reading: int
+    unflushed: int
+
+
 class SettingsReloaded(NamedTuple):
     """The settings were reloaded.
 
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -53,17 +53,6 @@
 #: Time after the start for which requests may wait for the configuration;
 #: the store commonly answers within a tenth of it.
 START_HOLD_MS = 1_000
-#: Time after the start of a planned stop for which all requests are still
-#: accepted but long streams, since load balancers and clients still send
-#: them here; after it, only requests whose deadline is before the end of the
-#: stop.
-STOP_ACCEPT_MS = 3_000
-#: Time after the start of a planned stop at which callers' idle connections
-#: are closed; new connections are accepted until the end, in case no other
-#: gateway is running.
-CLOSE_IDLE_MS = 2_500
-#: End of the stop that is reserved for callers to read their last bytes.
-STOP_RESERVE_MS = 600
 
 
 def new_gateway(
@@ -154,9 +143,8 @@
     """
     if _peer_accepts_callers(state):
         return STOPPING_RETRY_MS
-    end_ms = state.stop_began_ms + state.options.stop_ms + RESTART_MS
     remaining_ms = active.deadline_ms - stamp.now_ms
-    wait_ms = end_ms - stamp.now_ms
+    wait_ms = state.stop.end_deadline_ms + RESTART_MS - stamp.now_ms
     return admission.retry_after_ms(wait_ms, remaining_ms, stamp.seed)
 
 
@@ -171,11 +159,10 @@
     """
     if not state.stopping:
         return True
-    elapsed_ms = stamp.now_ms - state.stop_began_ms
-    remaining_ms = state.options.stop_ms - STOP_RESERVE_MS - elapsed_ms
+    remaining_ms = state.stop.work_left_ms(stamp.now_ms)
     if active.deadline_ms - stamp.now_ms < remaining_ms:
         return True
-    if elapsed_ms > STOP_ACCEPT_MS:
+    if not state.stop.accepts_all(stamp.now_ms):
         return False
     streams = state.latency.route_streams(active.route.id, stamp.now_ms)
     if streams is None or not _peer_accepts_callers(state):
@@ -254,8 +241,7 @@
 ) -> list[Any]:
     if state.stopping:
         return []
-    state.stopping = True
-    state.stop_began_ms = stamp.now_ms
+    state.stop.begin(stamp.now_ms, state.options.stop_ms)
     fields = {'requests': len(state.requests_by_id)}
     return [
         core_effects.LogChange('stopping', fields),
@@ -308,25 +294,35 @@
 
 def _continue_stop(state: State, stamp: core_events.Stamp) -> list[Any]:
     """Carries out the steps of a planned stop that are due."""
-    if not state.stopping or state.exiting:
-        return []
+    due = state.stop.advance(
+        stamp.now_ms,
+        len(state.requests_by_id) + len(state.held_requests_by_id),
+    )
     outputs: list[Any] = []
-    elapsed_ms = stamp.now_ms - state.stop_began_ms
-    if elapsed_ms >= CLOSE_IDLE_MS and not state.callers_closed:
-        state.callers_closed = True
+    if due.close_idle:
         outputs.append(effects.CloseCallers())
-    time_is_up = elapsed_ms >= state.options.stop_ms - STOP_RESERVE_MS
-    if time_is_up:
+    if due.end_requests:
         for active in list(state.requests_by_id.values()):
             outputs += timeouts.expire(state, stamp, active)
-    idle = not state.requests_by_id and elapsed_ms >= STOP_ACCEPT_MS
-    if idle or time_is_up:
-        state.exiting = True
-        outputs.append(core_effects.Record('stopped', {'late': time_is_up}))
+    if due.close_listener:
+        fields = {'late': state.stop.late, **state.stop.callers._asdict()}
+        outputs.append(core_effects.Record('flushing', fields))
+        outputs.append(effects.CloseListener())
+    if due.exit:
+        fields = {'late': state.stop.late, **state.stop.callers._asdict()}
+        outputs.append(core_effects.Record('stopped', fields))
         outputs.append(core_effects.Exit())
     return outputs
 
 
+@REDUCER.handles(events.CallersObserved)
+def on_callers_observed(
+    state: State, stamp: core_events.Stamp, event: events.CallersObserved
+) -> list[Any]:
+    state.stop.callers = event
+    return []
+
+
 def _refuse_unrouted(request_id: str, failure: Any) -> list[Any]:
     """Refuses a request that has no route, or no right to use it."""
     fields = {
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway_state.py
@@ -34,6 +34,7 @@
 from ragwortgw_gateway import server_backoff
 from ragwortgw_gateway import session_versions
 from ragwortgw_gateway import shares
+from ragwortgw_gateway import stopping
 from ragwortgw_gateway import store_link
 from ragwortgw_gateway import store_watch
 from ragwortgw_gateway import tiers
@@ -384,10 +385,7 @@
         #: Fetches of a peer's view of the store that have not ended, by
         #: address, with the time when each began.
         self.fetch_began_ms_by_address: dict[str, int] = {}
-        self.stopping = False
-        self.stop_began_ms = 0
-        self.callers_closed = False
-        self.exiting = False
+        self.stop = stopping.PlannedStop()
 
     def apply_options(self, options: limits.Options) -> None:
         """Applies reloaded limits.
@@ -413,6 +411,11 @@
         """Addresses of the peers that are alive."""
         return tuple(peer.digest.address for peer in self.peers_by_id.values())
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stop.begun
+
     @property
     def ready(self) -> bool:
         """Whether the gateway accepts new callers."""
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -20,9 +20,14 @@
 from ragwortgw_gateway import requests
 from ragwortgw_gateway import rollouts
 from ragwortgw_gateway import shares
+from ragwortgw_gateway import stopping
 from tests import harness
 
 
+#: Phases of a planned stop in which nothing new is accepted.
+LAST_PHASES = ('flushing', 'ended')
+
+
 class AdmissionTest(unittest.TestCase):
     def test_answers_503_without_a_configuration(self):
         driver = harness.GatewayDriver()
@@ -1128,14 +1133,14 @@
 
     def test_refuses_requests_that_could_outlast_the_stop_as_not_run(self):
         self.stop()
-        self.driver.tick(gateway.STOP_ACCEPT_MS + 50)
+        self.driver.tick(stopping.STOP_ACCEPT_MS + 50)
         self.driver.arrive('r1', 'order')
         self.assertEqual(503, self.driver.refusal().status)
         self.assertEqual('no', errors.problem(self.driver.refusal())['ran'])
 
     def retry_after_ms(self, peer_stops):
         self.stop()
-        self.driver.tick(gateway.STOP_ACCEPT_MS + 50)
+        self.driver.tick(stopping.STOP_ACCEPT_MS + 50)
         peer = harness.GatewayDriver('edge-2').start()
         if peer_stops:
             peer.reduce(core_events.StopRequested())
@@ -1152,7 +1157,7 @@
     def test_stopping_gateway_serves_requests_with_an_early_deadline(self):
         self.driver.arrive('r0', 'order')
         self.stop()
-        self.driver.tick(gateway.STOP_ACCEPT_MS + 50)
+        self.driver.tick(stopping.STOP_ACCEPT_MS + 50)
         deadline_ms = self.driver.now_ms + 1_000
         dispatch = self.driver.arrive('r1', 'order', deadline_ms=deadline_ms)
         self.assertIsNotNone(dispatch)
@@ -1194,15 +1199,19 @@
         self.stop()
         for _ in range(20):
             self.driver.tick(200)
-            self.assertFalse(self.driver.state.exiting)
+            self.assertNotIn(self.driver.state.stop.phase, LAST_PHASES)
         self.driver.finish_attempt(dispatch)
-        self.driver.tick(50)
-        self.assertTrue(self.driver.state.exiting)
+        for phase in LAST_PHASES:
+            self.driver.tick(50)
+            self.assertEqual(phase, self.driver.state.stop.phase)
 
     def test_exits_in_time_despite_active_requests(self):
         self.driver.arrive('r1', 'order')
         self.stop()
         stop_ms = self.driver.state.options.stop_ms
-        while not self.driver.state.exiting:
+        while self.driver.state.stop.phase != 'ended':
             self.driver.tick(50)
+            self.assertLessEqual(
+                self.driver.now_ms - harness.START_MS, stop_ms
+            )
         self.assertLess(self.driver.now_ms - harness.START_MS, stop_ms)
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_effects.py
@@ -112,6 +112,13 @@
     process.caller_server.close_idle()
 
 
+@applies(effects.CloseListener)
+def apply_close_listener(process: Any, effect: effects.CloseListener) -> None:
+    """Lets no caller send anything any more."""
+    process.caller_server.drain()
+    process.caller_server.close_idle()
+
+
 @applies(core_effects.CallPlatform)
 def apply_call(process: Any, effect: core_effects.CallPlatform) -> None:
     """Calls the store."""
@@ -128,5 +135,5 @@
 
 @applies(core_effects.Exit)
 def apply_exit(process: Any, effect: core_effects.Exit) -> None:
-    """Ends the process."""
-    process.exit()
+    """Ends the process in this turn of the loop."""
+    process.loop.stop()
--- a/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
@@ -61,6 +61,7 @@
         'settings-refused',
         'settings-reloaded',
         'started',
+        'flushing',
         'stopped',
         'stopping',
         'store-lost',
@@ -201,7 +202,6 @@
         self._lines = budgets.TokenBucket(LINES_PER_S, BURST_LINES)
         self._lines_left_out = 0
         self._left_out_deadline_ms = 0
-        self._exiting = False
 
     def _open_servers(self) -> None:
         settings = self.settings
@@ -266,6 +266,12 @@
             )
             self.calls.advanced.clear()
             self.emit(events.StreamsAdvanced(advances))
+        if self.state.stopping:
+            self.emit(
+                events.CallersObserved(
+                    self.caller_server.reading, self.caller_server.unflushed
+                )
+            )
         self._observe_lag()
         super().start_ticks()
 
@@ -304,12 +310,6 @@
             )
         )
 
-    def exit(self) -> None:
-        """Ends the process once callers have all that was sent."""
-        if not self._exiting:
-            self._exiting = True
-            self.spawn(self._exit())
-
     async def call_store(
         self, op_id: int, call: platform.Call, deadline_ms: int
     ) -> None:
@@ -361,12 +361,6 @@
                 core_effects.Count('log_lines_left_out', (), lines)
             )
 
-    async def _exit(self) -> None:
-        self.caller_server.drain()
-        self.caller_server.close_idle()
-        await self.caller_server.wait_flushed()
-        self.loop.stop()
-
     def _handle_ready(self, exchange: http_exchange.Exchange) -> None:
         if exchange.path != self.settings.ready_path:
             exchange.refuse(errors.UnknownPath(exchange.path))
--- a/packages/ragwortgw-server/ragwortgw_server/http_server.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_server.py
@@ -89,6 +89,16 @@
         """Connections of callers."""
         return len(self._sessions)
 
+    @property
+    def reading(self) -> int:
+        """Connections on which a request has arrived in part."""
+        return sum(session.reading for session in self._sessions)
+
+    @property
+    def unflushed(self) -> int:
+        """Connections whose caller has not taken all that was answered."""
+        return sum(session.flushing for session in self._sessions)
+
     def retire(self) -> None:
         """Lets connections end with their next answer; listens on."""
         self.draining = True
@@ -119,9 +129,12 @@
             await waiter
 
     async def wait_flushed(self) -> None:
-        """Waits until callers have taken all that was answered."""
-        await self.wait_idle()
-        while any(session.flushing for session in self._sessions):
+        """Waits until callers have sent all and taken all.
+
+        Returns in a turn of the loop in which no request is being read, in
+        progress or unflushed.
+        """
+        while self._active or self.reading or self.unflushed:
             await asyncio.sleep(FLUSH_POLL_S)
 
     def shut(self) -> None:
--- a/packages/ragwortgw-server/ragwortgw_server/http_session.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_session.py
@@ -102,6 +102,11 @@
         """Whether no request is under way."""
         return self._exchange is None and not self._buffer and not self._head
 
+    @property
+    def reading(self) -> bool:
+        """Whether a request has arrived in part."""
+        return not self._ending and bool(self._buffer or self._head)
+
     @property
     def flushing(self) -> bool:
         """Whether the caller has not taken all that was answered."""
--- a/packages/ragwortgw-server/tests/test_http_server.py
+++ b/packages/ragwortgw-server/tests/test_http_server.py
@@ -323,6 +323,31 @@
         received = self.run_on_loop(body())
         self.assertEqual(20_000_000, received.count(b'x'))
 
+    def test_flush_waits_for_a_request_that_is_being_read(self):
+        held = []
+        server = self.serve(held.append)
+
+        async def body():
+            reader, writer = await support.connect(server.address)
+            writer.write(b'POST / HTTP/1.1\r\nHost: x\r\n')
+            await support.until(lambda: server.reading)
+            server.drain()
+            server.close_idle()
+            flushed = asyncio.ensure_future(server.wait_flushed())
+            await asyncio.sleep(0.05)
+            self.assertFalse(flushed.done())
+            writer.write(b'Content-Length: 2\r\n\r\nhi')
+            await support.until(lambda: held)
+            await asyncio.sleep(0.05)
+            self.assertFalse(flushed.done())
+            held[0].respond(200, [], b'whole')
+            received = await reader.read()
+            writer.close()
+            await flushed
+            return received
+
+        self.assertTrue(self.run_on_loop(body()).endswith(b'whole'))
+
     def test_line_ends_in_header_values_are_replaced(self):
         def handle(exchange):
             exchange.respond(200, [('A', 'b\r\nC: d')], b'')
