Bring no value back by an answer that was read before it went

The watch remembers at which revision a key was last known to be gone (4,096 keys at most), and PrefixWatch._put() and _remove() are the only places that decide by revision between what is known and what arrives. A key that is written again has a higher revision and is taken. The test failed before.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/store_watch.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/store_watch.py
@@ -8,6 +8,7 @@
 than anything in the restored store.
 """
 
+import collections
 from typing import Any
 
 from ragwortgw_core import events
@@ -31,6 +32,8 @@
 #: Interval at which the part of the prefix given as relist_prefix is listed
 #: again; a list costs as much as a watch.
 RELIST_INTERVAL_MS = 8_000
+#: Keys that are remembered as gone, the latest ones.
+MAX_GONE = 4_096
 #: A large configuration takes seconds over a slow link.
 LIST_TIMEOUT_MS = 4_000
 #: Delay after the first failed call, which doubles with each further one,
@@ -72,6 +75,10 @@
         self.confirmed_ms = 0
         self.preceding_watchers = 0
         self._entries_by_key: dict[str, platform.Found] = {}
+        #: Revisions at which keys were last known to be gone.
+        self._gone_by_key: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._calls = calls
         self._owner = f'following {prefix}'
         #: Number of the latest call; answers to earlier ones are ignored.
@@ -119,6 +126,34 @@
         """Returns the present value of a key, None if it has none."""
         return self._entries_by_key.get(key)
 
+    def _put(self, entry: platform.Found) -> bool:
+        """Takes a value unless what is known of its key is newer.
+
+        Answers can arrive late: one that was read before a deletion that a
+        peer told of, or a later watch, must not bring the value back.
+        """
+        known = self._entries_by_key.get(entry.key)
+        if known is not None and known.revision >= entry.revision:
+            return False
+        if self._gone_by_key.get(entry.key, -1) >= entry.revision:
+            return False
+        self._gone_by_key.pop(entry.key, None)
+        self._entries_by_key[entry.key] = entry
+        return True
+
+    def _remove(self, key: str, revision: int) -> bool:
+        """Removes a value that is gone, unless a newer one is known."""
+        known = self._entries_by_key.get(key)
+        if known is not None and known.revision > revision:
+            return False
+        self._gone_by_key[key] = max(
+            revision, self._gone_by_key.get(key, revision)
+        )
+        self._gone_by_key.move_to_end(key)
+        if len(self._gone_by_key) > MAX_GONE:
+            self._gone_by_key.popitem(last=False)
+        return self._entries_by_key.pop(key, None) is not None
+
     def on_tick(self, stamp: events.Stamp) -> list[Any]:
         """Makes the next call when it is due."""
         if self._call_pending or stamp.now_ms < self._call_deadline_ms:
@@ -254,6 +289,8 @@
             if before_by_key.get(key) != entry
         )
         deleted = tuple(before_by_key.keys() - self._entries_by_key.keys())
+        for key in deleted:
+            self._remove(key, listed.revision)
         return [
             *outputs,
             notices.PrefixChanged(
@@ -288,14 +325,11 @@
         written = []
         deleted = []
         for entry in listed.found:
-            known = self._entries_by_key.get(entry.key)
-            if known is None or known.revision < entry.revision:
-                self._entries_by_key[entry.key] = entry
+            if self._put(entry):
                 written.append(entry)
-        for key, known in list(self._entries_by_key.items()):
+        for key in list(self._entries_by_key):
             gone = key.startswith(listed.prefix) and key not in entries_by_key
-            if gone and known.revision <= listed.revision:
-                del self._entries_by_key[key]
+            if gone and self._remove(key, listed.revision):
                 deleted.append(key)
         if not written and not deleted:
             return []
@@ -322,15 +356,11 @@
         deleted: dict[str, None] = {}
         for change in changes.changes:
             self.changed_revision = max(self.changed_revision, change.revision)
-            known = self._entries_by_key.get(change.key)
-            if known is not None and known.revision >= change.revision:
-                continue
             if isinstance(change, platform.Found):
-                self._entries_by_key[change.key] = change
-                written[change.key] = change
-                deleted.pop(change.key, None)
-            elif known is not None:
-                del self._entries_by_key[change.key]
+                if self._put(change):
+                    written[change.key] = change
+                    deleted.pop(change.key, None)
+            elif self._remove(change.key, change.revision):
                 written.pop(change.key, None)
                 deleted[change.key] = None
         if not written and not deleted:
--- a/packages/ragwortgw-gateway/tests/test_store_watch.py
+++ b/packages/ragwortgw-gateway/tests/test_store_watch.py
@@ -44,6 +44,31 @@
         self.assertEqual(('a',), notice.deleted)
         self.assertEqual(8, self.watch.revision)
 
+    def test_late_answers_bring_no_deleted_value_back(self):
+        """The list was read before a deletion that a peer tells of."""
+        self.watch = store_watch.PrefixWatch(self.calls, '', 'servers/')
+        self.component = self.watch
+        old = platform.Found('servers/a', b'1', 5)
+        other = platform.Found('other', b'1', 4)
+        self.tick()
+        self.answer_oldest(platform.Listed('', (old, other), 5))
+        self.tick()
+        self.answer_oldest(platform.Changes('', (), 5))
+        self.tick(store_watch.RELIST_INTERVAL_MS + 50)
+        view = digests.StoreView(9, (), ('other',), 0)
+        (notice,) = self.watch.merge_view(self.stamp(), view)
+        self.assertEqual(('servers/a',), notice.deleted)
+        late = platform.Listed('servers/', (old,), 6)
+        self.assertEqual([], self.answer_oldest(late))
+        self.assertIsNone(self.watch.get('servers/a'))
+        self.tick(50)
+        self.answer_oldest(platform.Changes('', (old,), 9))
+        self.assertIsNone(self.watch.get('servers/a'))
+        self.tick(2 * store_watch.WATCH_DELAY_MS)
+        again = platform.Found('servers/a', b'2', 10)
+        (notice,) = self.answer_oldest(platform.Changes('', (again,), 10))
+        self.assertEqual((again,), notice.written)
+
     def time_to_next_watch(self, preceding_watchers):
         """Returns the time from a change to the next watch, in ms."""
         self.watch.preceding_watchers = preceding_watchers
