--- a/packages/ragwortgw-fakes/ragwortgw_fakes/http.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/http.py
@@ -96,6 +96,7 @@
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._task: asyncio.Task | None = None
+        self._copy = b''
         self._writable = asyncio.Event()
         self._writable.set()
 
@@ -170,6 +171,7 @@
     async def _serve(self, request: Request) -> None:
         try:
             answer = await self._server.handler(request)
+            self._send_copy()
             if isinstance(answer, Response):
                 self._send_whole(answer)
             else:
@@ -197,10 +199,17 @@
         except h11.RemoteProtocolError:
             self._transport.close()
 
-    def _write(self, *events: h11.Event) -> None:
+    def _write(self, *events: h11.Event) -> bytes:
         data = b''.join(self._h11.send(event) or b'' for event in events)
         if not self._transport.is_closing():
             self._transport.write(data)
+        return data
+
+    def _send_copy(self) -> None:
+        """Sends an earlier answer once more, before the present one."""
+        copy, self._copy = self._copy, b''
+        if copy and not self._transport.is_closing():
+            self._transport.write(copy)
 
     def _send_whole(self, answer: Response) -> None:
         headers = [
@@ -208,11 +217,14 @@
             ('content-length', str(len(answer.body))),
             *answer.headers,
         ]
-        self._write(
+        sent = self._write(
             h11.Response(status_code=answer.status, headers=headers),
             h11.Data(data=answer.body),
             h11.EndOfMessage(),
         )
+        if self._server.copies_next:
+            self._server.copies_next -= 1
+            self._copy = sent
 
     async def _send_stream(self, answer: StreamResponse) -> None:
         headers = [
@@ -244,6 +256,9 @@
         self.cancel_on_disconnect = cancel_on_disconnect
         self.connections: set[Connection] = set()
         self.accepting = True
+        #: The next N whole answers are sent once more, each before the next
+        #: answer on its connection.
+        self.copies_next = 0
         self.address = ''
         self._server: asyncio.Server | None = None
         #: Keeps the port from other processes while nothing listens there.
