Suspect no request that was answered a short time ago

A crash was held against every request that waited at the server.

A request that crashes servers is never answered. What was answered within the lifetime of a crash, one minute, is now neither suspected nor reported to peers as a crash; what was never answered is suspected after two servers as before. The test of alike requests failed before; the one of requests that crash every server holds before and after. A gateway that has answered none of them yet, such as one that has just started, goes by its peers' reports as before.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/attempts.py
@@ -172,6 +172,8 @@
     if ended is None:
         return []
     active, attempt = ended
+    if event.answer.status < MIN_SERVER_ERROR:
+        state.crashes.record_sound(active.request.fingerprint, stamp.now_ms)
     if attempt.delivered:
         active.executions += 1
         if active.request.prompt is not None:
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/crashes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/crashes.py
@@ -1,5 +1,9 @@
 """Detects and quarantines requests that crash backend servers.
 
+A request that crashes servers is never answered: one that was answered a
+short time ago only waited at servers that crashed for another reason, as do
+many that are alike.
+
 It protects against a request that the client retries after each crash, and
 that takes down one backend server after the other.
 """
@@ -17,6 +21,8 @@
 MAX_CRASHES = 2
 #: Crashes that are remembered; the oldest are dropped first.
 MAX_TRACKED_CRASHES = 1_024
+#: Requests that are remembered as answered, the latest ones.
+MAX_SOUND = 4_096
 
 
 class CrashTracker:
@@ -28,6 +34,22 @@
         self._crashes: collections.OrderedDict[
             tuple[int, str], tuple[int, bool]
         ] = collections.OrderedDict()
+        #: When requests were last answered, in ms by fingerprint.
+        self._sound_ms_by_fingerprint: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+
+    def record_sound(self, fingerprint: int, now_ms: int) -> None:
+        """Records that a server ran a request to its end.
+
+        Args:
+          fingerprint: Hash of the request.
+          now_ms: When it was answered.
+        """
+        self._sound_ms_by_fingerprint[fingerprint] = now_ms
+        self._sound_ms_by_fingerprint.move_to_end(fingerprint)
+        if len(self._sound_ms_by_fingerprint) > MAX_SOUND:
+            self._sound_ms_by_fingerprint.popitem(last=False)
 
     def record_crash(
         self, fingerprint: int, server: str, now_ms: int, local: bool = True
@@ -58,15 +80,20 @@
             )
 
     def expire(self, now_ms: int) -> None:
-        """Removes crashes that are older than CRASH_LIFETIME_MS."""
+        """Removes what is older than CRASH_LIFETIME_MS."""
         oldest_ms = now_ms - CRASH_LIFETIME_MS
+        while self._sound_ms_by_fingerprint:
+            fingerprint = next(iter(self._sound_ms_by_fingerprint))
+            if self._sound_ms_by_fingerprint[fingerprint] >= oldest_ms:
+                break
+            del self._sound_ms_by_fingerprint[fingerprint]
         for key, (at_ms, _) in list(self._crashes.items()):
             if at_ms < oldest_ms:
                 del self._crashes[key]
 
     def is_quarantined(self, fingerprint: int) -> bool:
         """Returns whether a request crashed too many servers to be sent."""
-        if not self._crashes:
+        if not self._crashes or fingerprint in self._sound_ms_by_fingerprint:
             return False
         servers = {
             server
@@ -76,9 +103,12 @@
         return len(servers) >= MAX_CRASHES
 
     def local(self, now_ms: int) -> tuple[digests.Crash, ...]:
-        """Returns the crashes that this gateway observed, for its digest."""
+        """Returns the crashes that this gateway observed, for its digest.
+
+        Those of requests that are known to be sound are left out.
+        """
         return tuple(
             digests.Crash(fingerprint, server, now_ms - at_ms)
             for (fingerprint, server), (at_ms, local) in self._crashes.items()
-            if local
+            if local and fingerprint not in self._sound_ms_by_fingerprint
         )
--- a/packages/ragwortgw-gateway/tests/test_gateway.py
+++ b/packages/ragwortgw-gateway/tests/test_gateway.py
@@ -382,6 +382,35 @@
             self.assertIsNone(self.driver.dispatched())
 
 
+class AlikeRequestsTest(unittest.TestCase):
+    """Requests with one path, key and body."""
+
+    def setUp(self):
+        self.driver = harness.GatewayDriver().start(
+            servers=('s1', 's2', 's3', 's4')
+        )
+
+    def arrive(self, request_id):
+        return self.driver.arrive(request_id, 'order', fingerprint=7)
+
+    def crash(self, count):
+        """Has servers crash below one request each, two at a time."""
+        for number in range(count):
+            self.driver.break_attempt(self.arrive(f'c{number}'))
+
+    def test_sound_ones_are_served_after_servers_crashed(self):
+        self.driver.finish_attempt(self.arrive('r1'))
+        self.crash(3)
+        for number in range(20):
+            self.assertIsNotNone(self.arrive(f's{number}'))
+
+    def test_ones_that_crash_every_server_are_not_sent_on(self):
+        self.crash(2)
+        for number in range(20):
+            self.assertIsNone(self.arrive(f's{number}'))
+            self.assertEqual('suspected', self.driver.refusal().slug)
+
+
 class RetryTest(unittest.TestCase):
     def test_failed_request_is_retried_once_on_another_server(self):
         driver = harness.GatewayDriver().start()
--- a/packages/ragwortgw-gateway/tests/test_trackers.py
+++ b/packages/ragwortgw-gateway/tests/test_trackers.py
@@ -385,6 +385,25 @@
         self.tracker.merge_remote([digests.Crash(7, 's1/1', 100)], 1_200)
         self.assertFalse(self.tracker.is_quarantined(7))
 
+    def test_request_that_is_answered_does_not_crash_servers(self):
+        self.tracker.record_sound(7, 900)
+        for server in ('s1/1', 's2/1', 's3/1'):
+            self.tracker.record_crash(7, server, 1_000)
+            self.tracker.record_crash(8, server, 1_000)
+        self.assertFalse(self.tracker.is_quarantined(7))
+        self.assertTrue(self.tracker.is_quarantined(8))
+        told = {each.fingerprint for each in self.tracker.local(1_000)}
+        self.assertEqual({8}, told)
+        self.tracker.record_sound(8, 1_100)
+        self.assertFalse(self.tracker.is_quarantined(8))
+
+    def test_answers_are_forgotten_after_the_lifetime_of_crashes(self):
+        self.tracker.record_sound(7, 1_000)
+        self.tracker.expire(1_001 + crashes.CRASH_LIFETIME_MS)
+        for server in ('s1/1', 's2/1'):
+            self.tracker.record_crash(7, server, 70_000)
+        self.assertTrue(self.tracker.is_quarantined(7))
+
     def test_crashes_are_forgotten_after_their_lifetime(self):
         self.tracker.record_crash(7, 's1/1', 1_000)
         self.tracker.record_crash(7, 's2/1', 1_000)
