--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 FORCE:
 
 BENCHMARKS := billing calls cascades evidence gateways ledger limits overload \
-  queueing routing
+  parsing queueing routing
 
 bench: setup
 	set -e; cd packages/ragwortgw-core; for b in $(BENCHMARKS); do \
