--- a/packages/ragwortgw-core/ragwortgw_core/decoding.py
+++ b/packages/ragwortgw-core/ragwortgw_core/decoding.py
@@ -4,6 +4,7 @@
 RecursionError for deep nesting; here each of them is Undecodable.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -23,23 +24,24 @@
     Raises:
       Undecodable: The bytes are no value of that type.
     """
-    try:
-        return msgspec.json.decode(data, type=type_)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise Undecodable(str(error)) from error
+    return _decode(msgspec.json.decode, data, type_)
 
 
 def from_msgpack(data: bytes | memoryview, type_: Any = Any) -> Any:
     """Decodes MessagePack.
 
-    Args:
-      data: The bytes.
-      type_: Type of the value, as msgspec takes it.
+    Args: As for from_json().
     Returns: The value.
     Raises:
       Undecodable: The bytes are no value of that type.
     """
+    return _decode(msgspec.msgpack.decode, data, type_)
+
+
+def _decode(
+    decode: Callable[..., Any], data: bytes | memoryview, type_: Any
+) -> Any:
     try:
-        return msgspec.msgpack.decode(data, type=type_)
+        return decode(data, type=type_)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise Undecodable(str(error)) from error
