--- a/packages/ragwortgw-fakes/ragwortgw_fakes/load_client.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/load_client.py
@@ -73,6 +73,7 @@
         path: str,
         headers: Mapping[str, str],
         body: bytes,
+        pause_s: float = 0.0,
     ) -> Reply:
         """Sends a request and reads the whole response.
 
@@ -82,6 +83,7 @@
           path: Path and query.
           headers: Further headers.
           body: Whole body.
+          pause_s: Pause in the midst of the body.
         Returns: The response.
         Raises:
           Broken: The connection broke.
@@ -90,7 +92,7 @@
         connection = await self._take(address)
         try:
             return await self._exchange(
-                connection, address, method, path, headers, body
+                connection, address, method, path, headers, body, pause_s
             )
         except (ConnectionError, h11.RemoteProtocolError) as error:
             raise Broken(str(error)) from error
@@ -129,6 +131,7 @@
         path: str,
         headers: Mapping[str, str],
         body: bytes,
+        pause_s: float,
     ) -> Reply:
         fields = {
             'Host': address,
@@ -140,7 +143,13 @@
             method=method, target=path, headers=list(fields.items())
         )
         parts = [request, h11.Data(data=body), h11.EndOfMessage()]
-        connection.writer.write(b''.join(state.send(p) or b'' for p in parts))
+        data = b''.join(state.send(p) or b'' for p in parts)
+        if pause_s:
+            first = len(data) - len(body) // 2
+            connection.writer.write(data[:first])
+            await asyncio.sleep(pause_s)
+            data = data[first:]
+        connection.writer.write(data)
         await connection.writer.drain()
         return await self._read(connection)
 
