Say in the stop and the crash tracker what reads badly

Comments, and a deadline of the stop as an attribute in place of a property; nothing is decided differently. Tests of stops, gateways and trackers pass.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/crashes.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/crashes.py
@@ -1,11 +1,10 @@
 """Detects and quarantines requests that crash backend servers.
 
-A request that crashes servers is never answered: one that was answered a
-short time ago only waited at servers that crashed for another reason, as do
-many that are alike.
-
 It protects against a request that the client retries after each crash, and
 that takes down one backend server after the other.
+
+Such a request is never answered: one that was answered a short time ago only
+waited at servers that crashed for another reason, as do many that are alike.
 """
 
 import collections
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/effects.py
@@ -115,7 +115,10 @@
 
 
 class CloseListener(NamedTuple):
-    """Stops listening for callers, and closes all but unread answers."""
+    """Stops listening for callers, and closes their idle connections.
+
+    What they have not read yet is still sent.
+    """
 
 
 class Abandon(NamedTuple):
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/stopping.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/stopping.py
@@ -51,6 +51,7 @@
       phase: The present phase.
       callers: What was last observed of the callers' connections.
       late: Whether requests in progress had to be ended.
+      end_deadline_ms: When the process ends at the latest, 0 without a stop.
     """
 
     def __init__(self) -> None:
@@ -58,20 +59,16 @@
         self.callers = NO_CALLERS
         self.late = False
         self._accept_deadline_ms = 0
+        #: 0 before the stop, and once they are closed.
         self._close_idle_deadline_ms = 0
         self._work_deadline_ms = 0
-        self._end_deadline_ms = 0
+        self.end_deadline_ms = 0
 
     @property
     def begun(self) -> bool:
         """Whether a stop was requested."""
         return self.phase != 'running'
 
-    @property
-    def end_deadline_ms(self) -> int:
-        """When the process ends at the latest."""
-        return self._end_deadline_ms
-
     def begin(self, now_ms: int, stop_ms: int) -> None:
         """Begins the stop; a further request for it changes nothing.
 
@@ -85,7 +82,7 @@
         self._accept_deadline_ms = now_ms + STOP_ACCEPT_MS
         self._close_idle_deadline_ms = now_ms + CLOSE_IDLE_MS
         self._work_deadline_ms = now_ms + stop_ms - STOP_RESERVE_MS
-        self._end_deadline_ms = now_ms + stop_ms
+        self.end_deadline_ms = now_ms + stop_ms
 
     def accepts_all(self, now_ms: int) -> bool:
         """Returns whether requests are accepted whatever time they take."""
@@ -107,9 +104,8 @@
             return Due()
         if self.phase == 'flushing':
             return self._end_if_flushed(now_ms)
-        close_idle = False
-        if self._close_idle_deadline_ms <= now_ms:
-            close_idle = self._close_idle_deadline_ms > 0
+        close_idle = 0 < self._close_idle_deadline_ms <= now_ms
+        if close_idle:
             self._close_idle_deadline_ms = 0
         if self.phase == 'accepting' and now_ms >= self._accept_deadline_ms:
             self.phase = 'draining'
@@ -122,7 +118,7 @@
         return Due(close_idle)
 
     def _end_if_flushed(self, now_ms: int) -> Due:
-        if self.callers.unflushed and now_ms < self._end_deadline_ms:
+        if self.callers.unflushed and now_ms < self.end_deadline_ms:
             return Due()
         self.phase = 'ended'
         return Due(exit=True)
