Count a body until its request is answered

Change: a body counts against the limit of all bodies until the answer is whole or its caller gone, since the request may be sent again until then; one for which there is no room is refused with 503 before it is whole, so that it can't have run. The test failed before.

--- a/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
+++ b/packages/ragwortgw-server/ragwortgw_server/gateway_process.py
@@ -89,7 +89,8 @@
       metrics_listen: Where metrics are served, '' for nowhere.
       seeds: Addresses of gateways to speak to before the store told any.
       connection_limit: Connections of callers at a time.
-      body_limit_bytes: Bodies that are being received, all together.
+      body_limit_bytes: Bodies of requests without a whole answer, all
+        together.
       options: Limits of the decisions.
     """
 
--- a/packages/ragwortgw-server/ragwortgw_server/http_server.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_server.py
@@ -81,7 +81,7 @@
 
     @property
     def held_body_bytes(self) -> int:
-        """Bytes of bodies that are being received."""
+        """Bytes of bodies of requests that have no whole answer yet."""
         return self._held_body_bytes
 
     @property
@@ -170,7 +170,7 @@
         self._idle_waiters.clear()
 
     def hold_body(self, size_bytes: int) -> bool:
-        """Counts bytes of a body that is being received.
+        """Counts bytes of a body that arrived, until release_body().
 
         Args:
           size_bytes: Size of the new piece.
--- a/packages/ragwortgw-server/ragwortgw_server/http_session.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_session.py
@@ -27,7 +27,8 @@
         answer is sent.
       connections: Connections at a time; fewer where the process may not
         open as many files.
-      total_body_bytes: Bodies that are being received, all together.
+      total_body_bytes: Bodies of requests that have no whole answer yet,
+        received in part or whole, all together.
     """
 
     head_bytes: int = 16384
@@ -128,6 +129,7 @@
         if exchange is not self._exchange:
             return
         self._exchange = None
+        self._drop_body()
         self._server.exchange_ended()
         if self._pipelined and not self._ending:
             self._refuse(errors.PipelinedRequest())
@@ -238,7 +240,8 @@
         self._pipelined = bool(self._body.leftover.strip(b'\r\n'))
         self._head = None
         self._body = None
-        self._drop_body()
+        # The body counts until the answer is whole: it may be sent again.
+        self._pieces = []
         self._exchange = exchange
         self._arm(self._limits.idle_ms, self._on_idle)
         self._server.exchange_began(exchange)
--- a/packages/ragwortgw-server/tests/test_http_server.py
+++ b/packages/ragwortgw-server/tests/test_http_server.py
@@ -403,6 +403,30 @@
         self.assertIn(b'Retry-After: 1\r\n', refused)
         self.assertIn(b'X-Body: 900', accepted)
 
+    def test_body_counts_until_its_request_is_answered(self):
+        limits = http_server.Limits(total_body_bytes=1000)
+        held = []
+        server = self.serve(held.append, limits=limits)
+        head = POST + b'Connection: close\r\nContent-Length: 900\r\n\r\n'
+        whole = head + b'x' * 900
+
+        async def body():
+            _, writer = await support.connect(server.address)
+            writer.write(whole)
+            await support.until(lambda: held)
+            refused = await support.exchange(server.address, whole)
+            held[0].respond(200, [], b'')
+            self.assertEqual(0, server.held_body_bytes)
+            _, leaving = await support.connect(server.address)
+            leaving.write(whole)
+            await support.until(lambda: len(held) == 2)
+            self.assertEqual(900, server.held_body_bytes)
+            leaving.close()
+            await support.until(lambda: server.held_body_bytes == 0)
+            return refused
+
+        self.assertIn(b'problem:overloaded', self.run_on_loop(body()))
+
 
 class TlsTest(support.LoopTest):
     def test_silent_handshake_holds_nobody_up(self):
