Reset the connection of an unframed answer that is cut

Report of other operators: a server stopped inside the head of its answer and closed; callers got 200 with an empty or short body, framed as whole.

From servers it can't happen here: a head counts once its empty line has come. Played with every length of three heads, closed in order and reset, on new and kept connections and after an interim head; these tests held before too.

The same cause towards callers did: a stream to a caller of HTTP/1.0 has no chunks and ends with its connection, and a cut stream, an idle caller, a stop and the end of the process closed that in order. Callers took it for whole.

Change: such an answer makes the end of its socket a reset, until close() has sent all of it. The kernel does it, so a killed process resets as well.

Three of the new tests failed before.

--- a/packages/ragwortgw-fakes/ragwortgw_fakes/http.py
+++ b/packages/ragwortgw-fakes/ragwortgw_fakes/http.py
@@ -56,6 +56,18 @@
     """Raised by a handler: the connection is reset without an answer."""
 
 
+class Tear(Exception):
+    """Raised by a handler: its answer ends in order inside the head.
+
+    Args:
+      answer: The answer that begins.
+    """
+
+    def __init__(self, answer: Response) -> None:
+        super().__init__(answer)
+        self.answer = answer
+
+
 Handler = Callable[[Request], Awaitable[Response | StreamResponse]]
 
 
@@ -179,6 +191,9 @@
         except Drop:
             self.reset()
             return
+        except Tear as tear:
+            self._send_torn(tear.answer)
+            return
         except Exception:
             LOG.exception('%s %s failed', request.method, request.path)
             self.reset()
@@ -211,14 +226,15 @@
         if copy and not self._transport.is_closing():
             self._transport.write(copy)
 
+    def _send_torn(self, answer: Response) -> None:
+        head = self._h11.send(_response(answer)) or b''
+        if not self._transport.is_closing():
+            self._transport.write(head[: len(head) * 3 // 4])
+            self._transport.close()
+
     def _send_whole(self, answer: Response) -> None:
-        headers = [
-            ('content-type', answer.content_type),
-            ('content-length', str(len(answer.body))),
-            *answer.headers,
-        ]
         sent = self._write(
-            h11.Response(status_code=answer.status, headers=headers),
+            _response(answer),
             h11.Data(data=answer.body),
             h11.EndOfMessage(),
         )
@@ -240,6 +256,15 @@
         self._write(h11.EndOfMessage())
 
 
+def _response(answer: Response) -> h11.Response:
+    headers = [
+        ('content-type', answer.content_type),
+        ('content-length', str(len(answer.body))),
+        *answer.headers,
+    ]
+    return h11.Response(status_code=answer.status, headers=headers)
+
+
 class Server:
     """Listens on one address; an async context manager.
 
--- a/packages/ragwortgw-server/ragwortgw_server/connections.py
+++ b/packages/ragwortgw-server/ragwortgw_server/connections.py
@@ -7,6 +7,7 @@
 import logging
 import socket
 import ssl
+import struct
 from typing import Any
 
 from circuits.core import components
@@ -20,6 +21,10 @@
 READ_BYTES = 65536
 MAX_SEND_BYTES = 262144
 LINGER_S = 2
+#: SO_LINGER by which the end of a socket resets the connection, and by which
+#: it sends what is left.
+RESET = struct.pack('ii', 1, 0)
+NO_RESET = struct.pack('ii', 0, 0)
 #: A peer whose host is gone, or a path that lost the connection, shows
 #: after about three seconds without an answer to the kernel's probes.
 KEEPALIVE_OPTIONS = (
@@ -56,6 +61,7 @@
         self._handshaking = handshake
         self._closing = False
         self._paused = False
+        self._unframed = False
         self._pending: collections.deque[bytes] = collections.deque()
         self._pending_bytes = 0
         self._waiters: list[tuple[int, asyncio.Future[None]]] = []
@@ -120,6 +126,16 @@
             if self._secure and self._sock.pending():
                 self._owner.call_soon(self.receive)
 
+    def begin_unframed(self) -> None:
+        """Begins a message that ends where the connection does.
+
+        Unless close() ends it, the connection is reset, also if the process
+        is killed: a peer would take an orderly end for that of the message.
+        """
+        if not self.closed:
+            self._unframed = True
+            self._set_linger(RESET)
+
     def close(self) -> None:
         """Closes once everything written is sent.
 
@@ -138,7 +154,8 @@
             return
         self.closed = True
         self._owner.forget(self._sock)
-        self._shut(socket.SHUT_RDWR)
+        if not self._unframed:
+            self._shut(socket.SHUT_RDWR)
         self._sock.close()
         self._pending.clear()
         self._pending_bytes = 0
@@ -234,9 +251,19 @@
         self._waiters = still
 
     def _linger(self) -> None:
+        if self._unframed:
+            self._unframed = False
+            self._set_linger(NO_RESET)
         self._shut(socket.SHUT_WR)
         self._owner.call_later(LINGER_S, self.abort)
 
+    def _set_linger(self, option: bytes) -> None:
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        except OSError:
+            # The peer is gone: nobody can mistake the end of the message.
+            pass
+
     def _shut(self, how: int) -> None:
         try:
             self._sock.shutdown(how)
--- a/packages/ragwortgw-server/ragwortgw_server/http_exchange.py
+++ b/packages/ragwortgw-server/ragwortgw_server/http_exchange.py
@@ -118,6 +118,8 @@
         lines = list(headers)
         if self._chunked:
             lines.append(('Transfer-Encoding', 'chunked'))
+        else:
+            self._connection.begin_unframed()
         self._write(self._head(status, lines))
 
     def write(self, data: bytes) -> None:
