Take no request late in a stop that its end would cut

Report of other operators: in a planned stop, in calm, requests that came late were taken and passed on, and cut with no answer at its end.

Here callers of a gateway whose stop is shorter than 3.6 s could see it: an order that became whole after the rest had been ended was sent to a server, and its connection closed with the process. Likewise requests that waited for the first configuration, in a stop shorter than 1 s.

Cause: work ended 0.6 s before the end of the stop, whatever its length, and requests of any length were taken for 3 s from its begin, whatever its length. Nothing held the two in order. What waits for the configuration was counted as work, but was not ended as such.

Change: requests of any length are taken in the phase 'accepting' alone, which ends at the latest when work does; the reserve at the end is at most a sixth of the stop; held requests are refused with the rest.

LateRequestTest: of its three tests, on the code before, requests of stops of 0.6, 1, 2 and 3 s had no answer, nor one that waited for the configuration, and work of a stop of 0.65 s was ended at 0.1 s. The test with processes and 5 s passed before and guards that.

--- a/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/gateway.py
@@ -304,6 +304,10 @@
     if due.end_requests:
         for active in list(state.requests_by_id.values()):
             outputs += timeouts.expire(state, stamp, active)
+        for request_id in state.held_requests_by_id:
+            failure = errors.ConfigurationMissing(NO_CONFIGURATION_RETRY_MS)
+            outputs += _refuse_unrouted(request_id, failure)
+        state.held_requests_by_id.clear()
     if due.close_listener:
         fields = {'late': state.stop.late, **state.stop.callers._asdict()}
         outputs.append(core_effects.Record('flushing', fields))
--- a/packages/ragwortgw-gateway/ragwortgw_gateway/stopping.py
+++ b/packages/ragwortgw-gateway/ragwortgw_gateway/stopping.py
@@ -17,8 +17,10 @@
 #: are closed; new connections are accepted until the last request has its
 #: answer, in case no other gateway is running.
 CLOSE_IDLE_MS = 2_500
-#: End of the stop that is reserved for callers to read their last bytes.
+#: End of the stop that is reserved for callers to read their last bytes, and
+#: the largest fraction of the stop that it may be.
 STOP_RESERVE_MS = 600
+MAX_RESERVE_FRACTION = 1 / 6
 
 #: running: there is no stop. accepting: callers may not know of it yet.
 #: draining: it waits for requests to arrive whole and to be answered.
@@ -74,19 +76,22 @@
 
         Args:
           now_ms: The time.
-          stop_ms: Time that it may take.
+          stop_ms: Time after which the process is killed.
         """
         if self.begun:
             return
         self.phase = 'accepting'
-        self._accept_deadline_ms = now_ms + STOP_ACCEPT_MS
-        self._close_idle_deadline_ms = now_ms + CLOSE_IDLE_MS
-        self._work_deadline_ms = now_ms + stop_ms - STOP_RESERVE_MS
+        reserve_ms = min(STOP_RESERVE_MS, stop_ms * MAX_RESERVE_FRACTION)
+        self._work_deadline_ms = now_ms + round(stop_ms - reserve_ms)
         self.end_deadline_ms = now_ms + stop_ms
+        self._accept_deadline_ms = min(
+            now_ms + STOP_ACCEPT_MS, self._work_deadline_ms
+        )
+        self._close_idle_deadline_ms = now_ms + CLOSE_IDLE_MS
 
     def accepts_all(self, now_ms: int) -> bool:
         """Returns whether requests are accepted whatever time they take."""
-        return now_ms <= self._accept_deadline_ms
+        return self.phase == 'accepting' and now_ms < self._accept_deadline_ms
 
     def work_left_ms(self, now_ms: int) -> int:
         """Returns the time until requests in progress are ended."""
