Entries: answer what is left when the time of a stop is up

Cause: the reducer decided to end and left its requests as they were. The process waited for their answers until the last resort of the shell ended it.

Change: at that time requests that wait are refused, as not run, and the rest end as at their deadline: with the answer of an earlier stage, else 504, 'may have run'. Those that wait come first, since a cancelled attempt frees an agent for them. An agent was not changed: it finishes what runs.

--- a/packages/ragwortgw-core/ragwortgw_core/entry.py
+++ b/packages/ragwortgw-core/ragwortgw_core/entry.py
@@ -337,6 +337,27 @@
         or state.bills.pending_count()
         or state.ledger.pending_count()
     )
-    if not busy or stamp.now_ms >= state.stop_deadline_ms:
+    if not busy:
         return [effects.Exit()]
+    if stamp.now_ms >= state.stop_deadline_ms:
+        return [*end_requests(state, stamp), effects.Exit()]
     return []
+
+
+def end_requests(state: State, stamp: events.Stamp) -> list[Any]:
+    """Ends all requests at the deadline of a planned stop.
+
+    Without an answer, callers would see the process cut their connections.
+    """
+    outputs: list[Any] = []
+    # First those that wait: they would go to the agents that become free.
+    for active in list(state.requests_by_id.values()):
+        if active.phase == 'queued':
+            failure = errors.Stopping(entry_admission.RETRY_AFTER_MS)
+            outputs += entry_dispatch.refuse_unexecuted(
+                state, stamp, active, failure
+            )
+    for active in list(state.requests_by_id.values()):
+        if not active.detached:
+            outputs += expire_unqueued(state, stamp, active)
+    return outputs
