Entries: replace evidence and cursors that can't be read

Three readers of entries' own keys still decoded with msgspec alone, whose errors nobody caught: with unreadable evidence a roll-out stood still, so that a bad version was not withdrawn; with an unreadable cursor no page of the ledger was deleted any more; with an unreadable page no query of the audit had an answer.

Change: they read through decoding. Evidence (with a log line) and cursor are written anew, the page is left out.

--- a/packages/ragwortgw-core/ragwortgw_core/reports.py
+++ b/packages/ragwortgw-core/ragwortgw_core/reports.py
@@ -4,13 +4,14 @@
 subjects that an entry answers from its own state are in queries.
 """
 
+import contextlib
 import datetime
 from typing import Any, NamedTuple
 
-import msgspec
 from returns.result import Failure
 
 from ragwortgw_core import config_store
+from ragwortgw_core import decoding
 from ragwortgw_core import documents
 from ragwortgw_core import effects
 from ragwortgw_core import errors
@@ -280,13 +281,13 @@
     Args:
       listed: Pages of the audit.
       newest: Commands of the head; these may be in the audit, too.
-    Returns: Each command once, in order of revision.
+    Returns: Each command once, in order of revision; without those of pages
+      that can't be read.
     """
     commands = list(newest)
     for page in listed.found:
-        commands += msgspec.json.decode(
-            page.value, type=list[documents.Command]
-        )
+        with contextlib.suppress(decoding.Undecodable):
+            commands += decoding.from_json(page.value, list[documents.Command])
     by_revision = {command['revision']: command for command in commands}
     return [command for _, command in sorted(by_revision.items())]
 
--- a/packages/ragwortgw-core/ragwortgw_core/rollout_driver.py
+++ b/packages/ragwortgw-core/ragwortgw_core/rollout_driver.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ragwortgw_core import configuration
+from ragwortgw_core import decoding
 from ragwortgw_core import documents
 from ragwortgw_core import effects
 from ragwortgw_core import events
@@ -214,11 +215,19 @@
             self._on_pool_written(rollout, call, result)
             return []
         pool, revision = None, 0
+        outputs: list[Any] = []
         if isinstance(result, platform.Found):
-            pool = msgspec.json.decode(result.value, type=evidence.Pool)
             revision = result.revision
-            self._evidence.apply_pool(rollout, pool)
-        outputs = self._write_pool(stamp, rollout, pool, revision)
+            pool = _read_pool(result.value)
+            if pool is None:
+                # Written anew: entries go on to add what they see.
+                fields = {'rollout': rollout['id'], 'revision': revision}
+                outputs.append(
+                    effects.LogChange('unreadable evidence replaced', fields)
+                )
+            else:
+                self._evidence.apply_pool(rollout, pool)
+        outputs += self._write_pool(stamp, rollout, pool, revision)
         if self.holds_lease(stamp.now_ms):
             outputs += self._advance(stamp, rollout)
         return outputs
@@ -256,8 +265,8 @@
             value = call.value
         if isinstance(result, platform.Conflict):
             value = result.value
-        if value:
-            pool = msgspec.json.decode(value, type=evidence.Pool)
+        pool = _read_pool(value) if value else None
+        if pool is not None:
             self._evidence.apply_pool(rollout, pool)
 
     def _advance(
@@ -337,3 +346,11 @@
             False,
             changes,
         )
+
+
+def _read_pool(value: bytes) -> evidence.Pool | None:
+    """Reads a pool of evidence, None if the bytes are none."""
+    try:
+        return decoding.from_json(value, evidence.Pool)
+    except decoding.Undecodable:
+        return None
--- a/packages/ragwortgw-core/ragwortgw_core/sweeper.py
+++ b/packages/ragwortgw-core/ragwortgw_core/sweeper.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ragwortgw_core import decoding
 from ragwortgw_core import effects
 from ragwortgw_core import events
 from ragwortgw_core import ledger
@@ -86,10 +87,11 @@
         self._busy = False
         if isinstance(result, platform.Written):
             assert isinstance(call, platform.Put)
-            return self._list(stamp, msgspec.json.decode(call.value, type=int))
+            return self._list(stamp, decoding.from_json(call.value, int))
         if isinstance(result, platform.Found):
-            cursor = msgspec.json.decode(result.value, type=int)
-            return self._advance_cursor(stamp, cursor + 1, result.revision)
+            return self._advance_cursor(
+                stamp, _bucket_after(stamp, result), result.revision
+            )
         if isinstance(result, platform.Absent):
             return self._advance_cursor(stamp, _newest_expired(stamp), 0)
         return []
@@ -139,6 +141,17 @@
     return Sweeper(calls)
 
 
+def _bucket_after(stamp: events.Stamp, cursor: platform.Found) -> int:
+    """Returns the bucket after that of the cursor.
+
+    One that can't be read is replaced, as if there were none.
+    """
+    try:
+        return decoding.from_json(cursor.value, int) + 1
+    except decoding.Undecodable:
+        return _newest_expired(stamp)
+
+
 def _newest_expired(stamp: events.Stamp) -> int:
     """Returns the newest bucket that can be deleted."""
     limit_ms = stamp.now_ms - ledger.MAX_KEY_AGE_MS - MARGIN_MS
--- a/packages/ragwortgw-core/tests/test_rollout_driver.py
+++ b/packages/ragwortgw-core/tests/test_rollout_driver.py
@@ -84,6 +84,16 @@
                 fleet.run(60_000)
                 self.assertGreater(len(fleet.steps), 0)
 
+    def test_evidence_that_can_not_be_read_is_replaced(self):
+        # It ended the handler each time: the roll-out stood still.
+        key = rollout_driver.POOL_PREFIX + 'big'
+        for value in (b'\xff', b'[]', b'[' * 5_000 + b']' * 5_000):
+            with self.subTest(value[:9]):
+                fleet = Fleet(4, 4)
+                fleet.platform.apply(platform.Put(key, value, 0))
+                fleet.run(60_000)
+                self.assertGreater(len(fleet.steps), 0)
+
     def test_only_the_lease_holder_renews_often(self):
         fleet = Fleet(360, 4)
         fleet.run(120_000)
--- a/packages/ragwortgw-core/tests/test_sweeper.py
+++ b/packages/ragwortgw-core/tests/test_sweeper.py
@@ -68,3 +68,17 @@
         self.start_sweepers()
         self.world.run(600_000)
         self.assertEqual(1, len(self.keys()))
+
+    def test_cursor_that_can_not_be_read_is_replaced(self):
+        # It ended the handler for good: no page was deleted any more.
+        for value in (b'\xff', b'{}', b'[' * 5_000 + b']' * 5_000):
+            with self.subTest(value[:9]):
+                self.setUp()
+                self.world.platform.apply(
+                    platform.Put(sweeper.CURSOR_KEY, value, 0)
+                )
+                process = self.world.process('x')
+                process.components.append(sweeper.new_sweeper(process.calls))
+                self.world.run(2 * ledger_page.BUCKET_MS)
+                cursor = self.world.platform.values_by_key[sweeper.CURSOR_KEY]
+                self.assertTrue(cursor.value.isdigit())
