Take events of a plain service for a body like any other

Cause: whether an answer is a stream was decided by its type alone. Events of a plain service have no ids in order, so that the answer was taken for garbled or cut, and one whose ids fitted was passed on with an empty body.

Change: only routes of streams have streams; everything else is a body, whole with its length, its last chunk, or an orderly end of the connection.

test_unframed_streams: four bodies failed before; a reset still breaks them.

--- a/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
+++ b/packages/ragwortgw-server/ragwortgw_server/backend_calls.py
@@ -282,7 +282,9 @@
             if verdict == 'garbled':
                 raise _Broken('garbled', 'unknown')
             if verdict != 'earlier':
-                call.head = head
+                # A plain service may answer with events as with other bytes.
+                streaming = head.streaming and call.dispatch.streaming
+                call.head = head._replace(streaming=streaming)
                 return
             await channel.skip_response()
 
--- a/packages/ragwortgw-server/tests/test_unframed_streams.py
+++ b/packages/ragwortgw-server/tests/test_unframed_streams.py
@@ -14,12 +14,13 @@
 
 
 class UnframedStreamTest(attempt_case.AttemptCase):
-    def play(self, body, reset=False):
+    def play(self, body, reset=False, streaming=True):
         """Has a server answer with a head and a body, and close.
 
         Args:
           body: What it sends before it closes.
           reset: Whether it resets the connection.
+          streaming: Whether the route is one of streams.
         Returns: The last event of the attempt.
         """
 
@@ -39,7 +40,7 @@
             server = await asyncio.start_server(serve, '127.0.0.1', 0)
             support.close_later(server)
             host, port = server.sockets[0].getsockname()[:2]
-            self.dispatch(f'{host}:{port}', streaming=True)
+            self.dispatch(f'{host}:{port}', streaming=streaming)
             await support.until(self.ended)
 
         self.run_on_loop(scenario())
@@ -62,3 +63,15 @@
 
     def test_stream_that_is_reset_after_an_event_was_cut(self):
         self.check_cut(self.play(ONE + TWO, reset=True))
+
+    def test_events_of_a_plain_service_are_a_body_like_others(self):
+        # Its callers got 502, though the answer was whole.
+        for body in (b'data: a\n\n', ONE + TWO, b'id: 7\nda', b''):
+            with self.subTest(body):
+                self.events.clear()
+                ended = self.play(body, streaming=False)
+                self.assertIsInstance(ended, events.AttemptEnded)
+                self.assertEqual(body, ended.answer.body)
+
+    def test_events_of_a_plain_service_that_are_reset_were_cut(self):
+        self.check_cut(self.play(ONE, reset=True, streaming=False))
