--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -103,8 +103,18 @@
     return lines[0].split(' ', 2), headers
 
 
-async def read_body(reader, headers):
-    """Reads a body with a length or in chunks."""
+async def at_once():
+    """Lets a body be read without a pause."""
+
+
+async def read_body(reader, headers, may_read=at_once):
+    """Reads a body with a length or in chunks.
+
+    Args:
+      reader: Where it comes from.
+      headers: The headers of the message.
+      may_read: Waited for before each piece.
+    """
     if headers.get('transfer-encoding', '').lower() == 'chunked':
         pieces = []
         while True:
@@ -114,7 +124,16 @@
                 return b''.join(pieces)
             pieces.append(await reader.readexactly(size))
             await reader.readexactly(2)
-    return await reader.readexactly(int(headers.get('content-length', '0')))
+    pieces = []
+    left = int(headers.get('content-length', '0'))
+    while left:
+        await may_read()
+        piece = await reader.read(min(left, 65_536))
+        if not piece:
+            raise asyncio.IncompleteReadError(b'', left)
+        pieces.append(piece)
+        left -= len(piece)
+    return b''.join(pieces)
 
 
 def encode_answer(status, headers, body):
@@ -124,21 +143,33 @@
 
 
 class Server:
-    """Serves whole requests, one at a time on a connection."""
+    """Serves whole requests, one at a time on a connection.
+
+    Attributes:
+      piece_s: Pause before each 64 KiB of a body that it reads.
+      gap_s: Pause in the middle of the body of an answer.
+    """
 
     def __init__(self, ip):
         self.ip = ip
+        self.piece_s = 0.0
+        self.gap_s = 0.0
         self.address = ''
         self._server = None
         self._writers = set()
 
     async def start(self, port=0):
         self._server = await asyncio.start_server(
-            self._serve, self.ip, port, limit=1 << 20, backlog=1024
+            self._serve, self.ip, port, limit=1 << 16, backlog=1024
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f'{host}:{port}'
 
+    async def may_read(self):
+        """Waits until the next piece of a body may be read."""
+        if self.piece_s:
+            await asyncio.sleep(self.piece_s)
+
     async def stop(self):
         self._server.close()
         for writer in list(self._writers):
@@ -152,7 +183,7 @@
                 if head is None:
                     return
                 first, headers = head
-                body = await read_body(reader, headers)
+                body = await read_body(reader, headers, self.may_read)
                 request = Message(first, headers, body)
                 answering = asyncio.ensure_future(self.answer(request))
                 closing = asyncio.ensure_future(self._closed(reader))
@@ -168,7 +199,14 @@
                 if answer is None:
                     writer.transport.abort()
                     return
-                writer.write(encode_answer(*answer))
+                data = encode_answer(*answer)
+                if self.gap_s:
+                    # The answer comes in two pieces.
+                    cut = len(data) - len(answer[2]) // 2
+                    writer.write(data[:cut])
+                    data = data[cut:]
+                    await asyncio.sleep(self.gap_s)
+                writer.write(data)
                 await writer.drain()
         except (
             ConnectionError,
@@ -460,7 +498,9 @@
 class Gateway:
     """A gateway's process, started as the deploy file says."""
 
-    def __init__(self, name, ip, store, directory, limits=None, zone='a'):
+    def __init__(
+        self, name, ip, store, directory, limits=None, bounds=None, zone='a'
+    ):
         self.name = name
         self.ip = ip
         self.callers = f'{ip}:8227'
@@ -498,7 +538,7 @@
             'heartbeatMs': 1200,
             'contracts': CONTRACTS,
             'faultTolerance': {'machines': 1, 'zones': 0, 'regions': 0},
-            'bounds': BOUNDS,
+            'bounds': {**BOUNDS, **(bounds or {})},
             'platform': {
                 'address': store.address,
                 'form': 'kv',
@@ -648,12 +688,13 @@
 class Case:
     """Starts and ends everything; writes record.txt; an async context."""
 
-    def __init__(self, folder, gateways, limits=None):
+    def __init__(self, folder, gateways, limits=None, bounds=None):
         self.folder = pathlib.Path(folder)
         self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self._record = open(self.folder / 'record.txt', 'w')
         self._count = gateways
         self._limits = limits
+        self._bounds = bounds
         self._started = time.time()
         self._temporary = tempfile.TemporaryDirectory(prefix='review-')
         self.requester = Requester()
@@ -682,6 +723,7 @@
                     self.store,
                     directory,
                     self._limits,
+                    self._bounds,
                 )
             )
         return self
@@ -725,9 +767,11 @@
     if not (ROOT / 'target/deps').is_dir():
         print('target/deps is missing: build the deploy file first')
         raise SystemExit(2)
+    # Whoever stops the script early finds no process left.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         status = asyncio.run(asyncio.wait_for(run(), 118))
-    except (CantRun, TimeoutError, OSError) as error:
+    except (CantRun, TimeoutError, OSError, KeyboardInterrupt) as error:
         print(f'could not run: {error!r}')
         status = 2
     raise SystemExit(status)
